--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,14 @@
 	$(BIN)/behave --format progress
 
 check: .venv/.installed
-	$(BIN)/black --check --quiet src tests standins bench features
-	$(BIN)/ruff check --quiet src tests standins bench features
+	$(BIN)/black --check --quiet src tests standins bench features deploy
+	$(BIN)/ruff check --quiet src tests standins bench features deploy
 	$(BIN)/mypy
 	$(BIN)/python -m bench.tables
 
 format: .venv/.installed
-	$(BIN)/black --quiet src tests standins bench features
-	$(BIN)/ruff check --quiet --fix src tests standins bench features
+	$(BIN)/black --quiet src tests standins bench features deploy
+	$(BIN)/ruff check --quiet --fix src tests standins bench features deploy
 
 bench: .venv/.installed
 	$(BIN)/python -m bench.speed
--- a/src/gentianmux/codec.py
+++ b/src/gentianmux/codec.py
@@ -63,6 +63,9 @@
     messages.MemberUpdate,
     messages.LogRecord,
     messages.EndedJob,
+    messages.LeasedTask,
+    messages.RunRef,
+    messages.EndedRun,
 )
 _PLANS: dict[type, list[_Field]] = {cls: _plan(cls) for cls in (*_TYPES.values(), *_NESTED)}
 
--- a/src/gentianmux/codes.py
+++ b/src/gentianmux/codes.py
@@ -43,6 +43,7 @@
     BODY_TIMEOUT = 108
     ID_IN_FUTURE = 109
     BAD_HEADER = 110
+    NOT_SERVED = 111
 
     UNAUTHENTICATED = 200
     UNKNOWN_SERVICE = 201
@@ -125,6 +126,7 @@
         400, _NO, "The id's time lies further ahead than the allowed clock skew."
     ),
     _C.BAD_HEADER: CodeInfo(400, _NO, "A header has a value that is not understood."),
+    _C.NOT_SERVED: CodeInfo(422, _NO, "The request asks for something that is not served here."),
     _C.UNAUTHENTICATED: CodeInfo(401, _NO, "The key is missing or belongs to no member."),
     _C.UNKNOWN_SERVICE: CodeInfo(404, _NO, "The configuration has no such service."),
     _C.NOT_YOUR_SERVICE: CodeInfo(403, _NO, "The service belongs to another member."),
--- a/src/gentianmux/handlers.py
+++ b/src/gentianmux/handlers.py
@@ -6,6 +6,7 @@
 
 from .board import Board
 from .codes import ResultCode
+from .conn import Conn
 from .job import Waiter
 from .messages import (
     Answer,
@@ -33,7 +34,6 @@
     TraceQuery,
     TraceReply,
 )
-from .peers import Conn
 
 
 @singledispatch
--- a/src/gentianmux/http_server.py
+++ b/src/gentianmux/http_server.py
@@ -33,6 +33,12 @@
             return super().read_request(raw_requestline)
         return False
 
+    def get_environ(self) -> dict[str, Any]:
+        # Applications that wait long watch the connection for a caller that leaves.
+        environ: dict[str, Any] = super().get_environ()
+        environ["gentianmux.socket"] = self.socket
+        return environ
+
     def log_request(self) -> None:
         return
 
--- /dev/null
+++ b/src/gentianmux/leased/agent.py
@@ -0,0 +1,516 @@
+"""The agent: the only one that starts anything at the endpoint beside it."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from ..clock import Clock
+from ..messages import (
+    AgentLoad,
+    Assign,
+    EndedRun,
+    EndedRuns,
+    EndpointState,
+    Hello,
+    Holding,
+    LeasedTask,
+    LoadEcho,
+    Message,
+    RunRef,
+    SeenRuns,
+    SharedConfig,
+    Withdraw,
+)
+from ..metrics import Metrics
+from .chain import AgentSide
+from .config_feed import ConfigFeed
+from .health import EndpointHealth
+from .links import Links
+from .model import (
+    EndpointDriver,
+    EndpointGone,
+    EndpointReport,
+    HoldReply,
+    How,
+    NoAnswer,
+    StartVerdict,
+)
+from .progress import SLOW_FACTOR
+from .room import NO_ROOM, Room
+from .run_table import Finished, Phase, RunKey, RunTable
+from .settings import LeasedSettings, lease_s
+
+REPORT_S = 0.1
+"""Seconds between load reports when nothing changes, a quarter of the lease chain."""
+
+GATHER_S = 0.002
+"""Seconds for which changes are gathered into one load report: about one network round trip."""
+
+LOOK_S = 0.1
+"""Seconds that a look waits for an end; progress and leases are renewed that often."""
+
+STOP_AGAIN_S = 0.1
+"""Seconds between tries of a stop that the endpoint has not confirmed."""
+
+CHAIN_CHECK_S = 0.05
+"""Seconds between checks of the entries' leases."""
+
+REPLACE_S = 0.8
+"""Seconds that a run waits for an earlier run of its task to be gone, a lease and a stop."""
+
+FORGET_ENTRY_S = 10.0
+"""Seconds after which an entry that no longer echoes is dropped, with what it has not seen."""
+
+MOVE_ON_DRAIN_S = 0.3
+"""Seconds that a run may exceed what a draining endpoint has left before it is moved."""
+
+_NOT_RUN = {
+    StartVerdict.OLD_RUN: How.OLD_RUN,
+    StartVerdict.NO_ROOM: How.NO_ROOM,
+    StartVerdict.UNHEALTHY: How.NOT_STARTED,
+    StartVerdict.REFUSED: How.NOT_STARTED,
+    StartVerdict.REPLACED: How.NOT_STARTED,
+}
+
+
+class Agent:
+    """Guards one endpoint: exact room, one run of a task at a time, true ends.
+
+    Parameters
+    ----------
+    cfg : LeasedSettings
+        The settings.
+    driver : EndpointDriver
+        How the endpoint is spoken to.
+    links : Links
+        Connections to entries; the agent sets their callbacks.
+    feed : ConfigFeed
+        The newest configuration, which the agent hands on.
+    metrics : Metrics
+        Counters.
+    clock : Clock
+        Time and deferred calls.
+
+    Examples
+    --------
+    ``agent.on_report(report)`` takes an endpoint's heartbeat, ``agent.run_loops()`` spawns what
+    runs for as long as the process lives, ``agent.leave(deadline)`` ends it without loss.
+    """
+
+    def __init__(
+        self,
+        cfg: LeasedSettings,
+        driver: EndpointDriver,
+        links: Links,
+        feed: ConfigFeed,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._driver = driver
+        self._links = links
+        self._feed = feed
+        self._metrics = metrics
+        self._clock = clock
+        self.table = RunTable()
+        self.health = EndpointHealth()
+        self.chain = AgentSide()
+        self.report: EndpointReport | None = None
+        self.leaving = False
+        self.answering = False
+        self.on_endpoint: Callable[[EndpointReport | None], None] = lambda report: None
+        self._lease_s = lease_s(cfg)
+        self._attached = Event()
+        self._number = 0
+        self._ended_number = 0
+        self._applied: dict[str, int] = {}
+        self._unseen: dict[str, dict[int, EndedRun]] = {}
+        self._entry_seen: dict[str, float] = {}
+        self._reporting = False
+        links.on_open = self._on_open
+        links.on_close = self._on_close
+        links.on_message = self.on_message
+
+    # The endpoint
+
+    def on_report(self, report: EndpointReport) -> None:
+        """Take in a heartbeat of the endpoint beside this agent."""
+        known = self.report
+        if known is not None and known.endpoint == report.endpoint:
+            if report.sequence < known.sequence:
+                return
+            if report.draining != known.draining:
+                logger.bind(endpoint=report.endpoint, sequence=report.sequence).info(
+                    "endpoint drains" if report.draining else "endpoint is ready again"
+                )
+            drains = report.draining and not known.draining
+            self.report = report
+            if drains:
+                self.on_endpoint(report)
+            if report.draining:
+                self._move_what_cannot_end(report.drain_remaining_s)
+        else:
+            self._attach(report)
+        self._tell_state()
+        self._load_soon()
+
+    def _attach(self, report: EndpointReport) -> None:
+        logger.bind(endpoint=report.endpoint, capacity=report.capacity).info("endpoint found")
+        self._end_all(self.table.lose_all())
+        self.report = report
+        self.table.reset(report.capacity)
+        self.health = EndpointHealth()
+        self.answering = False
+        self._driver.attach(report)
+        self._attached.set()
+        self.on_endpoint(report)
+
+    def on_left(self, endpoint: str) -> None:
+        """Note that the endpoint has said it ends."""
+        if self.report is not None and self.report.endpoint == endpoint:
+            self._detach("it left")
+
+    def _detach(self, why: str) -> None:
+        if self.report is None:
+            return
+        logger.bind(endpoint=self.report.endpoint, reason=why).warning("endpoint gone")
+        self.report = None
+        self.answering = False
+        self._attached.clear()
+        self._end_all(self.table.lose_all())
+        self.table.reset(NO_ROOM)
+        self._tell_state()
+
+    def _move_what_cannot_end(self, remaining_s: float) -> None:
+        """Stop runs that the draining endpoint will not finish, so that they begin elsewhere."""
+        now = self._clock.now()
+        for run in list(self.table.runs.values()):
+            heading_ms = run.progress.heading_for_ms(now) or float(run.estimate_ms)
+            left_s = heading_ms / 1000 - (now - run.began)
+            if run.phase is Phase.RUNNING and left_s > remaining_s + MOVE_ON_DRAIN_S:
+                self._stop(run.key, How.STOPPED, "the endpoint leaves before it would end")
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new runs may begin here."""
+        ready = self.report is not None and not self.report.draining
+        return ready and self.answering and self.table.is_clean and not self.leaving
+
+    def run_loops(self) -> list[gevent.Greenlet]:
+        """Spawn the loops of this controller."""
+        loops = [self._look, self._report_load, self._check_chains, self._repeat_stops]
+        return [gevent.spawn(loop) for loop in loops]
+
+    def _look(self) -> None:
+        while True:
+            self._attached.wait()
+            clean = self.table.is_clean
+            # Leases of what an earlier agent began are not renewed: it has to end.
+            renew_s = self._lease_s if clean and self.answering else 0.0
+            wait_s = LOOK_S if clean else 0.01
+            try:
+                reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s)
+            except EndpointGone:
+                self._detach("another life of it answers")
+            except NoAnswer as exc:
+                self._on_silence(str(exc))
+                gevent.sleep(0.02)
+            else:
+                self._take_look(reply)
+
+    def _on_silence(self, reason: str) -> None:
+        self._metrics.count("endpoint_silences")
+        if self.answering:
+            logger.bind(reason=reason, runs=len(self.table.runs)).warning("endpoint is silent")
+        self.answering = False
+        self._load_soon()
+        if self.table.runs and self._clock.now() > self._driver.lease_end():
+            self._end_all(self.table.lose_all())
+
+    def _take_look(self, reply: HoldReply) -> None:
+        if not self.answering and self.report is not None:
+            logger.bind(endpoint=self.report.endpoint).info("endpoint answers")
+        self.answering = True
+        was_clean = self.table.is_clean
+        finished = self.table.looked_at(reply, self._clock.now())
+        self._end_all(finished)
+        self._watch_progress()
+        self._stop_unconfirmed()
+        if self.table.is_clean != was_clean:
+            self._tell_state()
+        if finished:
+            self._load_soon()
+
+    def _watch_progress(self) -> None:
+        now = self._clock.now()
+        running = [run for run in self.table.runs.values() if run.phase is Phase.RUNNING]
+        stalled = [run for run in running if run.progress.is_stalled(now)]
+        for run in stalled:
+            self._stop(run.key, How.STALLED, f"no progress beyond {run.progress.percent:.0f} %")
+        if stalled:
+            self._metrics.count("runs_stalled", len(stalled))
+            self.health.stalled(len(stalled), now)
+        slow = [run for run in running if self._is_slow(run.progress.heading_for_ms(now), run)]
+        if len(slow) >= 2 and len(slow) * 2 > len(running):
+            self.health.eject(now)
+
+    def _is_slow(self, heading_ms: float | None, run: object) -> bool:
+        estimate_ms = max(1, getattr(run, "estimate_ms", 1))
+        return heading_ms is not None and heading_ms > SLOW_FACTOR * estimate_ms + 100
+
+    # Runs
+
+    @singledispatchmethod
+    def on_message(self, msg: Message, entry: str) -> None:
+        """Take in what an entry sent."""
+        logger.bind(peer=entry).warning("{} is not handled", type(msg).__name__)
+
+    @on_message.register
+    def _(self, msg: Assign, entry: str) -> None:
+        now = self._clock.now()
+        self.chain.echoed(entry, msg.echo)
+        self._applied[entry] = msg.number
+        fresh = self.chain.holds(entry, now)
+        for task in msg.tasks:
+            how = self._begin(task, entry) if fresh else How.NOT_STARTED
+            if how is not None:
+                self._metrics.count("runs_refused", label=how.name.lower())
+                self._ended(entry, task.name, task.run, how, 0)
+        self._flush_ended(entry)
+        self._load_soon()
+
+    def _begin(self, task: LeasedTask, entry: str) -> How | None:
+        """Begin a run; how it was refused, or None when it was not."""
+        key = (task.name, task.run)
+        if not self.is_accepting:
+            return How.DRAINING
+        if key in self.table.runs and self.table.runs[key].entry == entry:
+            return None
+        if self.table.runs_of_task(task.name):
+            # An earlier run, perhaps of another entry, has to be gone first.
+            for run in self.table.runs_of_task(task.name):
+                self._stop(run.key, How.STOPPED, "replaced by a newer run")
+            self._stop_unconfirmed()
+            self._clock.soon(self._begin_after, task, entry)
+            return None
+        now = self._clock.now()
+        need = Room(task.cpu, task.mem_mb, task.gpu)
+        if not self._offered().fits(need):
+            return How.NO_ROOM
+        if not self.table.begin(key, entry, need, task.estimate_ms, now):
+            return How.NO_ROOM
+        self._metrics.count("runs_started")
+        self._clock.soon(self._start, task)
+        return None
+
+    def _begin_after(self, task: LeasedTask, entry: str) -> None:
+        """Begin a run once every earlier run of its task is gone."""
+        until = self._clock.now() + REPLACE_S
+        while self.table.runs_of_task(task.name) and self._clock.now() < until:
+            gevent.sleep(0.01)
+        fresh = self.chain.holds(entry, self._clock.now())
+        gone = not self.table.runs_of_task(task.name)
+        how = self._begin(task, entry) if gone and fresh else How.NOT_STARTED
+        if how is not None:
+            self._ended(entry, task.name, task.run, how, 0)
+            self._flush_ended(entry)
+
+    def _start(self, task: LeasedTask) -> None:
+        key = (task.name, task.run)
+        payload = task.payload.decode("utf-8", "replace")
+        verdict = self._driver.start(task.name, task.run, payload, self._lease_s)
+        now = self._clock.now()
+        if verdict is StartVerdict.STARTED:
+            self.table.started(key, now)
+            return
+        if verdict is StartVerdict.NO_ANSWER:
+            logger.bind(task=task.name, run=task.run).warning("a start was not answered")
+            self._metrics.count("starts_unanswered")
+            self.table.unanswered(key, now)
+            return
+        logger.bind(task=task.name, run=task.run, verdict=verdict.value).warning("start refused")
+        if verdict is StartVerdict.UNHEALTHY:
+            self.health.ended(_job_of(task.name), True, None, now)
+        done = self.table.refused(key, _NOT_RUN[verdict])
+        if done is not None:
+            self._end_all([done])
+            self._load_soon()
+
+    @on_message.register
+    def _(self, msg: Withdraw, entry: str) -> None:
+        for ref in msg.runs:
+            run = self.table.runs.get((ref.task, ref.run))
+            if run is not None and run.entry == entry:
+                self._stop(run.key, How.STOPPED, "withdrawn")
+        self._stop_unconfirmed()
+
+    @on_message.register
+    def _(self, msg: SeenRuns, entry: str) -> None:
+        unseen = self._unseen.get(entry, {})
+        for number in [number for number in unseen if number <= msg.up_to]:
+            del unseen[number]
+
+    @on_message.register
+    def _(self, msg: LoadEcho, entry: str) -> None:
+        self.chain.echoed(entry, msg.number)
+        if msg.config_version < self._feed.version:
+            self._share_config(entry)
+
+    @on_message.register
+    def _(self, msg: SharedConfig, entry: str) -> None:
+        self._feed.offered(msg.body, f"entry {entry}")
+
+    def _share_config(self, entry: str) -> None:
+        if self._feed.current is not None:
+            self._links.send(entry, SharedConfig(self._feed.version, self._feed.current.raw))
+
+    def _stop(self, key: RunKey, why: How, reason: str) -> None:
+        if self.table.want_stopped(key, why):
+            self._metrics.count("runs_stopped", label=why.name.lower())
+            logger.bind(task=key[0], run=key[1], reason=reason).info("run stopped")
+
+    def _stop_unconfirmed(self) -> None:
+        for key in self.table.unconfirmed_stops():
+            self._clock.soon(self._call_stop, key)
+
+    def _call_stop(self, key: RunKey) -> None:
+        if self._driver.stop(*key):
+            self.table.stop_confirmed(key, self._clock.now())
+
+    def _repeat_stops(self) -> None:
+        while True:
+            gevent.sleep(STOP_AGAIN_S)
+            if self.report is not None:
+                self._stop_unconfirmed()
+
+    def _check_chains(self) -> None:
+        while True:
+            gevent.sleep(CHAIN_CHECK_S)
+            now = self._clock.now()
+            for run in list(self.table.runs.values()):
+                if not self.chain.holds(run.entry, now):
+                    self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
+            self._stop_unconfirmed()
+            self._forget_entries(now)
+            self._links.close_silent()
+
+    # Ends
+
+    def _end_all(self, finished: list[Finished]) -> None:
+        now = self._clock.now()
+        for run, how in finished:
+            ran_s = now - run.began
+            if how in (How.DONE, How.FAILED):
+                ratio = ran_s * 1000 / max(1, run.estimate_ms) if how is How.DONE else None
+                self.health.ended(_job_of(run.key[0]), how is How.FAILED, ratio, now)
+            self._metrics.count("runs_ended", label=how.name.lower())
+            if how is not How.DONE:
+                logger.bind(task=run.key[0], run=run.key[1], how=how.name.lower()).info("run ended")
+            self._ended(run.entry, *run.key, how, int(ran_s * 1000))
+        for entry in {run.entry for run, _ in finished}:
+            self._flush_ended(entry)
+
+    def _ended(self, entry: str, task: str, run: int, how: How, ran_ms: int) -> None:
+        self._ended_number += 1
+        row = EndedRun(self._ended_number, task, run, int(how), ran_ms)
+        self._unseen.setdefault(entry, {})[self._ended_number] = row
+
+    def _flush_ended(self, entry: str) -> None:
+        unseen = list(self._unseen.get(entry, {}).values())
+        if unseen:
+            self._links.send(entry, EndedRuns(unseen))
+
+    # Entries
+
+    def _on_open(self, hello: Hello) -> None:
+        if hello.role != "entry":
+            return
+        entry = hello.process
+        held = [RunRef(*run.key) for run in self.table.of_entry(entry)]
+        self._links.send(entry, self._state())
+        self._links.send(entry, Holding(self._applied.get(entry, 0), held))
+        self._flush_ended(entry)
+        self._load_soon()
+
+    def _on_close(self, entry: str) -> None:
+        """Keep what the entry runs until its lease is over: it may connect again."""
+
+    def _forget_entries(self, now: float) -> None:
+        """Drop what is kept for entries whose process has surely ended."""
+        for entry in [*self._unseen, *self._applied]:
+            if self.chain.holds(entry, now):
+                self._entry_seen[entry] = now
+        gone = [name for name, at in self._entry_seen.items() if now - at > FORGET_ENTRY_S]
+        for entry in gone:
+            del self._entry_seen[entry]
+            self._unseen.pop(entry, None)
+            self._applied.pop(entry, None)
+            self.chain.forget(entry)
+
+    def _state(self) -> EndpointState:
+        report = self.report
+        if report is None:
+            return EndpointState(
+                "", self._cfg.service, self._cfg.failure_domain, 0, 0, 0, [], False
+            )
+        return EndpointState(
+            report.endpoint,
+            report.service,
+            report.failure_domain,
+            *report.capacity,
+            list(report.labels),
+            self.is_accepting,
+        )
+
+    def _tell_state(self) -> None:
+        for entry in self._links.processes():
+            self._links.send(entry, self._state())
+
+    def _offered(self) -> Room:
+        if not self.is_accepting:
+            return NO_ROOM
+        return self.health.offered(self.table.room.free, len(self.table.runs), self._clock.now())
+
+    def _load_soon(self) -> None:
+        if not self._reporting:
+            self._reporting = True
+            self._clock.later(GATHER_S, self._send_load)
+
+    def _send_load(self) -> None:
+        self._reporting = False
+        self._number += 1
+        self.chain.sent(self._number, self._clock.now())
+        free = self._offered()
+        slowness = int(self.health.slowness() * 100)
+        for entry in self._links.processes():
+            applied = self._applied.get(entry, 0)
+            load = AgentLoad(self._number, applied, *free, slowness, self._feed.version)
+            self._links.send(entry, load)
+
+    def _report_load(self) -> None:
+        while True:
+            gevent.sleep(REPORT_S)
+            self._send_load()
+
+    # Leaving
+
+    def leave(self, until: float) -> None:
+        """Start nothing more, let what runs end, and move the rest before ``until``."""
+        self.leaving = True
+        self._tell_state()
+        self._send_load()
+        while self.table.runs and self._clock.now() < until:
+            gevent.sleep(0.02)
+        for key in list(self.table.runs):
+            self._stop(key, How.STOPPED, "the agent ends")
+        self._stop_unconfirmed()
+        last = self._clock.now() + 0.3
+        while (self.table.runs or any(self._unseen.values())) and self._clock.now() < last:
+            gevent.sleep(0.02)
+
+
+def _job_of(task: str) -> str:
+    return task.partition(".")[0]
--- /dev/null
+++ b/src/gentianmux/leased/chain.py
@@ -0,0 +1,76 @@
+"""The lease chain between an entry and an agent: who may still count on whom.
+
+An agent numbers the load reports that it sends. An entry echoes the newest number it has seen.
+The agent lets the entry's runs go on only for ``CHAIN_S`` after it *sent* the report that was
+echoed last. The entry knows when it sent its last echo, which is later; so ``CHAIN_S`` plus the
+endpoint's lease after that moment, nothing that it assigned can run any more, whatever froze, was
+cut off or died in between. No clock is compared with another machine's.
+"""
+
+from collections import deque
+
+CHAIN_S = 0.4
+"""Seconds; four load reports. Shorter leases drop runs when a slowed process reports late."""
+
+ECHO_S = 0.1
+"""Seconds between echoes, a quarter of the chain, so that one lost turn breaks nothing."""
+
+CLOCK_DRIFT = 1.02
+"""Factor; an endpoint's clock may run 2 % slow."""
+
+STOP_MARGIN_S = 0.15
+"""Seconds for stops under way: the endpoint's 50 ms, and two turns of a busy event loop."""
+
+KEPT_REPORTS = 400
+"""Reports whose time of sending is kept; 0.4 s at one every 2 ms is 200."""
+
+
+class AgentSide:
+    """What an agent knows of its chains: when it sent each report, and each entry's echo.
+
+    Examples
+    --------
+    >>> side = AgentSide()
+    >>> side.sent(1, 10.0)
+    >>> side.echoed("e1", 1)
+    >>> side.holds("e1", 10.2), side.holds("e1", 10.5)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._sent: deque[tuple[int, float]] = deque(maxlen=KEPT_REPORTS)
+        self._until: dict[str, float] = {}
+
+    def sent(self, number: int, now: float) -> None:
+        """Note the time at which a report leaves."""
+        self._sent.append((number, now))
+
+    def echoed(self, entry: str, number: int) -> None:
+        """Take an entry's echo; one of a report too old to be known extends nothing."""
+        for known, sent_at in reversed(self._sent):
+            if known == number:
+                self._until[entry] = max(self._until.get(entry, 0.0), sent_at + CHAIN_S)
+                return
+            if known < number:
+                return
+
+    def holds(self, entry: str, now: float) -> bool:
+        """Whether an entry's runs may go on, and new ones may begin."""
+        return now < self._until.get(entry, 0.0)
+
+    def forget(self, entry: str) -> None:
+        """Drop what is known of an entry that has ended."""
+        self._until.pop(entry, None)
+
+
+def surely_over(last_echo_at: float, lease_s: float) -> float:
+    """When nothing that an agent was assigned can run any more.
+
+    Parameters
+    ----------
+    last_echo_at : float
+        When the entry last sent the agent an echo, on the entry's monotonic clock.
+    lease_s : float
+        The longest lease that agents ask of endpoints, in seconds.
+    """
+    return last_echo_at + CHAIN_S + lease_s * CLOCK_DRIFT + STOP_MARGIN_S
--- /dev/null
+++ b/src/gentianmux/leased/config_feed.py
@@ -0,0 +1,108 @@
+"""The operators' configuration: read from the store, handed on by peers, never going back."""
+
+from collections.abc import Callable
+
+import gevent
+from loguru import logger
+
+from ..clock import Clock
+from ..errors import GentianmuxError, LogError
+from ..memory_log import KeyedLog
+from ..metrics import Metrics
+from .model import JobConfig
+
+WATCH_S = 5.0
+"""Seconds that a read waits for a change; a change is answered at once, so this is only how
+often an unchanged store is asked, some 0.2 calls a second a process."""
+
+AGAIN_S = 0.25
+"""Seconds between tries while the store does not answer: several within its shortest outage."""
+
+Decode = Callable[[bytes], JobConfig]
+
+
+class ConfigSource:
+    """Where the configuration lies in the store, and how it is read."""
+
+    def __init__(self, topic: str, key: str, decode: Decode) -> None:
+        self.topic = topic
+        self.key = key
+        self.decode = decode
+
+
+class ConfigFeed:
+    """Keeps the newest configuration that this process has seen.
+
+    Parameters
+    ----------
+    source : ConfigSource
+        Topic, key and decoder.
+    store : KeyedLog
+        The platform's store.
+    metrics : Metrics
+        Counters.
+    clock : Clock
+        Time.
+
+    Examples
+    --------
+    ``feed.offered(raw, "entry e1")`` takes a version in when it is newer than the present one.
+    """
+
+    def __init__(
+        self, source: ConfigSource, store: KeyedLog, metrics: Metrics, clock: Clock
+    ) -> None:
+        self.current: JobConfig | None = None
+        self.on_change: Callable[[JobConfig], None] = lambda config: None
+        self._source = source
+        self._store = store
+        self._metrics = metrics
+        self._clock = clock
+
+    @property
+    def version(self) -> int:
+        """Version of the present configuration, -1 for none."""
+        return -1 if self.current is None else self.current.version
+
+    def offered(self, raw: bytes, origin: str) -> None:
+        """Take in a configuration from a peer or the store, if it is newer and can be read."""
+        try:
+            config = self._source.decode(raw)
+        except GentianmuxError as exc:
+            self._metrics.count("configs_unreadable")
+            logger.bind(origin=origin, code=int(exc.code)).error(
+                "configuration unreadable: {}", exc
+            )
+            return
+        if config.version <= self.version:
+            return
+        logger.bind(version=config.version, before=self.version, origin=origin).info(
+            "configuration in force"
+        )
+        self.current = config
+        self._metrics.gauge("config_version", config.version)
+        self.on_change(config)
+
+    def run(self) -> None:
+        """Follow the store for as long as the process lives."""
+        offset: int | None = None
+        while True:
+            try:
+                offset = self._read_newest() if offset is None else self._follow(offset)
+            except LogError as exc:
+                offset = None
+                self._metrics.count("store_errors", label=exc.code.label)
+                gevent.sleep(AGAIN_S)
+
+    def _read_newest(self) -> int:
+        newest = self._store.newest(self._source.topic)
+        if self._source.key in newest.values:
+            self.offered(newest.values[self._source.key], "store")
+        return newest.end
+
+    def _follow(self, offset: int) -> int:
+        changes = self._store.changes(self._source.topic, offset, WATCH_S)
+        for key, value in changes.values:
+            if key == self._source.key and value:
+                self.offered(value, "store")
+        return changes.end
--- /dev/null
+++ b/src/gentianmux/leased/entry.py
@@ -0,0 +1,446 @@
+"""The entry: coordinates the jobs of its own callers over all agents it is connected to."""
+
+from collections import defaultdict
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from ..clock import Clock
+from ..messages import (
+    AgentLoad,
+    Assign,
+    EndedRuns,
+    EndpointState,
+    Hello,
+    Holding,
+    LeasedTask,
+    LoadEcho,
+    Message,
+    RunRef,
+    SeenRuns,
+    SharedConfig,
+    Withdraw,
+)
+from ..metrics import Metrics
+from .admission import DECIDE_SHARE, hopeless, urgency
+from .chain import ECHO_S
+from .config_feed import ConfigFeed
+from .fleet_view import AgentView, FleetView, Wish
+from .job_state import JobState, Outcome, TaskState
+from .links import Links, node_of
+from .model import How, JobSpec, QueueRules
+from .room import NO_ROOM
+from .settings import LeasedSettings
+
+STEP_S = 0.02
+"""Seconds between checks of deadlines, refusals and lost agents."""
+
+SETTLE_S = 0.05
+"""Seconds after a connection opens for its agent's ended runs to arrive."""
+
+REFUSED_PAUSE_S = 0.05
+"""Seconds for which an agent that refused for other reasons than room gets nothing new."""
+
+RETRY_AFTER_S = 1
+"""Seconds until a refused caller may try again: the work ahead of it is over by then."""
+
+NO_AGENT_S = 0.5
+"""Seconds a job waits while no agent serves its service at all: a restarted agent needs less."""
+
+
+class Verdict(NamedTuple):
+    """What is answered for a job."""
+
+    outcome: Outcome
+    reason: str
+    retry_after_s: int = 0
+
+
+class Ticket:
+    """A job at work, for those who wait for its answer.
+
+    Examples
+    --------
+    ``ticket.done.wait(timeout_s)`` and then ``ticket.verdict``.
+    """
+
+    def __init__(self, job: JobState) -> None:
+        self.job = job
+        self.done = Event()
+        self.verdict: Verdict | None = None
+        self.waiters = 0
+
+
+class Entry:
+    """Admits jobs, places their tasks, and gives each caller the whole answer.
+
+    Parameters
+    ----------
+    cfg : LeasedSettings
+        The settings.
+    view : FleetView
+        What is known of the agents.
+    links : Links
+        Connections to agents; the entry sets their callbacks.
+    feed : ConfigFeed
+        The newest configuration.
+    metrics : Metrics
+        Counters.
+    clock : Clock
+        Time and deferred calls.
+    """
+
+    def __init__(
+        self,
+        cfg: LeasedSettings,
+        view: FleetView,
+        links: Links,
+        feed: ConfigFeed,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._view = view
+        self._links = links
+        self._feed = feed
+        self._metrics = metrics
+        self._clock = clock
+        self.jobs: dict[str, Ticket] = {}
+        self.entries = 1
+        self.leaving = False
+        self.leaving_soon = False
+        self._backlog: dict[str, JobState] = {}
+        self._out: dict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
+        self._opened_at: dict[str, float] = {}
+        self._placing = False
+        links.on_open = self._on_open
+        links.on_close = self._on_close
+        links.on_message = self.on_message
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        reachable = self._view.reachable(self._clock.now())
+        return not self.leaving and self._feed.current is not None and bool(reachable)
+
+    # Jobs
+
+    def submit(self, spec: JobSpec, queue: QueueRules, time_limit_s: float) -> Ticket:
+        """Admit a job, or join the one of the same id that is at work here."""
+        running = self.jobs.get(spec.job_id)
+        if running is not None:
+            self._metrics.count("jobs_joined")
+            return running
+        now = self._clock.now()
+        job = JobState(spec, queue, now, now + time_limit_s)
+        ticket = Ticket(job)
+        self.jobs[spec.job_id] = ticket
+        self._backlog[spec.job_id] = job
+        self._metrics.count("jobs_admitted")
+        self._place()
+        return ticket
+
+    def now(self) -> float:
+        """Monotonic time in seconds, as deadlines of jobs are counted."""
+        return self._clock.now()
+
+    def pending(self, queue: str) -> int:
+        """Jobs of a queue of which nothing has begun."""
+        waiting = self._backlog.values()
+        return sum(1 for job in waiting if job.queue.name == queue and not job.began)
+
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job; false when none of this id is at work here."""
+        ticket = self.jobs.get(job_id)
+        if ticket is not None:
+            self._finish(ticket.job, Verdict(Outcome.CANCELLED, "cancelled by its caller"))
+        return ticket is not None
+
+    def abandon(self, ticket: Ticket, reason: str) -> None:
+        """Stop a job that nobody waits for any more."""
+        self._finish(ticket.job, Verdict(Outcome.UNKNOWN, reason))
+
+    def _finish(self, job: JobState, verdict: Verdict) -> None:
+        ticket = self.jobs.pop(job.spec.job_id, None)
+        if ticket is None:
+            return
+        self._backlog.pop(job.spec.job_id, None)
+        self._withdraw(job)
+        ticket.verdict = verdict
+        took_s = self._clock.now() - job.arrived
+        self._metrics.count("jobs_ended", label=verdict.outcome.value)
+        self._metrics.observe("job_seconds", took_s, label=job.queue.name)
+        logger.bind(
+            job=job.spec.job_id,
+            queue=job.queue.name,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason,
+            took_ms=round(took_s * 1000),
+            objective_ms=round(job.objective_s * 1000),
+            began=job.began,
+            tasks=len(job.tasks),
+        ).info("job ended")
+        ticket.done.set()
+
+    def _withdraw(self, job: JobState) -> None:
+        by_agent: dict[str, list[RunRef]] = defaultdict(list)
+        for task in job.out():
+            by_agent[task.agent].append(RunRef(task.name, task.run))
+            self._out[task.agent].pop((task.name, task.run), None)
+        for agent, refs in by_agent.items():
+            self._metrics.count("runs_withdrawn", len(refs))
+            self._links.send(agent, Withdraw(refs))
+
+    # Placing
+
+    def _place_soon(self) -> None:
+        if self._backlog and not self._placing:
+            self._placing = True
+            self._clock.soon(self._place_now)
+
+    def _place_now(self) -> None:
+        self._placing = False
+        self._place()
+
+    def _place(self) -> None:
+        """Hand waiting tasks to agents with room, the most urgent job first."""
+        now = self._clock.now()
+        shares: dict[str, list[LeasedTask]] = defaultdict(list)
+        serving: dict[str, list[AgentView]] = {}
+        full: set[str] = set()
+        for job in sorted(self._backlog.values(), key=urgency):
+            service = job.queue.service
+            if service in full or now >= job.deadline:
+                continue
+            if service not in serving:
+                serving[service] = self._view.serving(service, now)
+            if not self._place_job(job, serving[service], shares, now):
+                full.add(service)
+        for process, tasks in shares.items():
+            self._assign(process, tasks)
+
+    def _place_job(
+        self,
+        job: JobState,
+        serving: list[AgentView],
+        shares: dict[str, list[LeasedTask]],
+        now: float,
+    ) -> bool:
+        """Place what is ready of a job; false when there was no room for some of it."""
+        for task in list(job.ready()):
+            agent = self._view.choose(self._wish(job, task, serving), serving)
+            if agent is None or agent.state is None:
+                return False
+            run = job.assign(task, agent.process, agent.state.endpoint, now)
+            step = job.step_of(task)
+            number = agent.assigned + 1
+            agent.pending[number] = agent.pending.get(number, NO_ROOM).plus(step.need)
+            self._out[agent.process][(task.name, run)] = job
+            payload = job.spec.payload.encode()
+            shares[agent.process].append(
+                LeasedTask(task.name, run, payload, *step.need, step.estimate_ms)
+            )
+        if not any(True for _ in job.ready()):
+            self._backlog.pop(job.spec.job_id, None)
+        return True
+
+    def _wish(self, job: JobState, task: TaskState, serving: list[AgentView]) -> Wish:
+        step = job.step_of(task)
+        others = [a for a in serving if a.state is not None and a.state.endpoint not in task.avoid]
+        avoid = frozenset(task.avoid) if others else frozenset()
+        return Wish(
+            job.queue.service,
+            step.need,
+            step.requires,
+            step.prefers,
+            avoid,
+            job.full_endpoints(task),
+        )
+
+    def _assign(self, process: str, tasks: list[LeasedTask]) -> None:
+        agent = self._view.of(process)
+        agent.assigned += 1
+        self._metrics.count("runs_assigned", len(tasks))
+        sent = self._links.send(process, Assign(agent.newest_load, agent.assigned, tasks))
+        if not sent:
+            for task in tasks:
+                self._take_end(process, task.name, task.run, How.NOT_STARTED)
+
+    # Messages of agents
+
+    @singledispatchmethod
+    def on_message(self, msg: Message, agent: str) -> None:
+        """Take in what an agent sent."""
+        logger.bind(peer=agent).warning("{} is not handled", type(msg).__name__)
+
+    @on_message.register
+    def _(self, msg: AgentLoad, agent: str) -> None:
+        self._view.of(agent).take_load(msg, self._clock.now())
+        if msg.config_version < self._feed.version:
+            self._share_config(agent)
+        self._place_soon()
+
+    @on_message.register
+    def _(self, msg: EndpointState, agent: str) -> None:
+        view = self._view.of(agent)
+        before = view.state
+        view.state = msg
+        view.heard_at = self._clock.now()
+        if before != msg:
+            logger.bind(
+                peer=agent, endpoint=msg.endpoint, accepting=msg.accepting, service=msg.service
+            ).info("endpoint state")
+        if msg.accepting:
+            self._lose_earlier_lives(agent)
+        self._place_soon()
+
+    @on_message.register
+    def _(self, msg: EndedRuns, agent: str) -> None:
+        for row in msg.runs:
+            self._take_end(agent, row.task, row.run, How(row.how))
+        if msg.runs:
+            self._links.send(agent, SeenRuns(msg.runs[-1].number))
+        self._place_soon()
+
+    @on_message.register
+    def _(self, msg: Holding, agent: str) -> None:
+        held = {(ref.task, ref.run) for ref in msg.runs}
+        opened_at = self._opened_at.get(agent, 0.0)
+        missing = [
+            (name, run)
+            for (name, run), job in self._out[agent].items()
+            if (name, run) not in held and job.tasks[name].sent_at < opened_at
+        ]
+        if missing:
+            self._clock.later(SETTLE_S, self._end_missing, agent, missing)
+
+    @on_message.register
+    def _(self, msg: SharedConfig, agent: str) -> None:
+        self._feed.offered(msg.body, f"agent {agent}")
+
+    def _share_config(self, agent: str) -> None:
+        if self._feed.current is not None:
+            self._links.send(agent, SharedConfig(self._feed.version, self._feed.current.raw))
+
+    def _end_missing(self, agent: str, missing: list[tuple[str, int]]) -> None:
+        """End runs that an agent neither holds nor has ended: they never reached it."""
+        for name, run in missing:
+            self._take_end(agent, name, run, How.NOT_STARTED)
+        self._place_soon()
+
+    def _take_end(self, agent: str, name: str, run: int, how: How) -> None:
+        job = self._out[agent].pop((name, run), None)
+        if job is None or not job.ended(name, run, how):
+            self._metrics.count("late_ends", label=how.name.lower())
+            return
+        self._metrics.count("runs_back", label=how.name.lower())
+        if how in (How.NOT_STARTED, How.DRAINING):
+            self._view.of(agent).failed_until = self._clock.now() + REFUSED_PAUSE_S
+        if how not in (How.DONE, How.NO_ROOM):
+            logger.bind(task=name, run=run, peer=agent, how=how.name.lower()).info("run came back")
+        if job.failed:
+            self._finish(job, Verdict(Outcome.FAILED, f"{name} failed too often"))
+        elif job.is_done:
+            self._finish(job, Verdict(Outcome.COMPLETED, "every task is done"))
+        elif any(True for _ in job.ready()) and job.spec.job_id in self.jobs:
+            self._backlog[job.spec.job_id] = job
+
+    # Losses
+
+    def _on_open(self, hello: Hello) -> None:
+        self._opened_at[hello.process] = self._clock.now()
+        if hello.role == "agent" and self._feed.current is not None:
+            self._share_config(hello.process)
+
+    def _on_close(self, agent: str) -> None:
+        """Keep what the agent holds until it is surely over: it may connect again."""
+        view = self._view.agents.get(agent)
+        if view is not None:
+            view.offered = NO_ROOM
+
+    def _lose_earlier_lives(self, agent: str) -> None:
+        """End what earlier processes of an agent's instance held: it has made sure of that."""
+        for process in list(self._view.agents):
+            if process != agent and node_of(process) == node_of(agent):
+                self._lose(process, "a later process of the agent is at work")
+
+    def _lose(self, process: str, reason: str) -> None:
+        del self._view.agents[process]
+        held = list(self._out[process])
+        if held:
+            logger.bind(peer=process, runs=len(held), reason=reason).warning("runs lost")
+        for name, run in held:
+            self._take_end(process, name, run, How.LOST)
+        self._out.pop(process, None)
+        self._opened_at.pop(process, None)
+
+    # Upkeep
+
+    def run_loops(self) -> list[gevent.Greenlet]:
+        """Spawn the loops of this controller."""
+        return [gevent.spawn(self._run_steps), gevent.spawn(self._run_echoes)]
+
+    def _run_echoes(self) -> None:
+        while True:
+            gevent.sleep(ECHO_S)
+            now = self._clock.now()
+            for agent in list(self._view.agents.values()):
+                if agent.is_fresh(now):
+                    self._links.send(agent.process, LoadEcho(agent.newest_load, self._feed.version))
+            self._links.close_silent()
+
+    def _run_steps(self) -> None:
+        while True:
+            gevent.sleep(STEP_S)
+            self.step()
+
+    def step(self) -> None:
+        """One round: lost agents, passed deadlines, jobs that cannot be in time, placing."""
+        now = self._clock.now()
+        for process in list(self._view.agents):
+            if self._view.is_over(process, now):
+                self._lose(process, "silent for longer than every lease")
+        for ticket in list(self.jobs.values()):
+            if now >= ticket.job.deadline:
+                self._give_up(ticket.job, "deadline passed")
+        self._refuse_hopeless(now)
+        self._place()
+
+    def _give_up(self, job: JobState, reason: str) -> None:
+        if job.proved_not_run:
+            self._finish(job, Verdict(Outcome.NOT_RUN, reason, RETRY_AFTER_S))
+        else:
+            self._finish(job, Verdict(Outcome.UNKNOWN, reason))
+
+    def _refuse_hopeless(self, now: float) -> None:
+        by_service: dict[str, list[JobState]] = defaultdict(list)
+        for job in sorted(self._backlog.values(), key=urgency):
+            by_service[job.queue.service].append(job)
+        for service, jobs in by_service.items():
+            capacity = self._view.capacity(service, now).cpu / 1000 / max(1, self.entries)
+            if not capacity:
+                refused = [j for j in jobs if now - j.arrived > NO_AGENT_S]
+            else:
+                refused = hopeless(jobs, capacity, now)
+            for job in refused:
+                decided = now - job.arrived >= DECIDE_SHARE * job.objective_s
+                if job.proved_not_run and (decided or not capacity):
+                    self._finish(job, Verdict(Outcome.NOT_RUN, "cannot be in time", RETRY_AFTER_S))
+                elif not capacity:
+                    self._finish(job, Verdict(Outcome.UNKNOWN, "no agent is left"))
+
+    def leave(self, linger_s: float, until: float) -> None:
+        """Take jobs for ``linger_s`` more, then none; answer all by ``until``.
+
+        Callers keep their connections for some time after the balancer has been told.
+        """
+        self.leaving = True
+        gevent.sleep(linger_s)
+        self.leaving_soon = True
+        while self.jobs and self._clock.now() < until:
+            gevent.sleep(0.02)
+        for ticket in list(self.jobs.values()):
+            self._give_up(ticket.job, "the entry ends")
--- /dev/null
+++ b/src/gentianmux/leased/fleet_view.py
@@ -0,0 +1,153 @@
+"""What an entry knows of the agents: their endpoints, the room they offer, and who is silent."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import NamedTuple
+
+from ..messages import AgentLoad, EndpointState
+from .chain import surely_over
+from .room import NO_ROOM, Room
+
+SILENT_S = 0.3
+"""Seconds without a load report, three of them, after which an agent gets nothing new."""
+
+SAMPLE = 64
+"""Agents looked at for one task; more cost time and find hardly more room."""
+
+SLOWNESS_STEP = 0.25
+"""Differences in speed below this are noise of eight runs with estimates 40 % off."""
+
+
+@dataclass
+class AgentView:
+    """One agent's process as an entry sees it."""
+
+    process: str
+    state: EndpointState | None = None
+    heard_at: float = 0.0
+    newest_load: int = 0
+    offered: Room = NO_ROOM
+    slowness: float = 1.0
+    assigned: int = 0
+    pending: dict[int, Room] = field(default_factory=dict)
+    failed_until: float = 0.0
+
+    @property
+    def free(self) -> Room:
+        """Room offered, less what was assigned since the report that offered it."""
+        free = self.offered
+        for taken in self.pending.values():
+            free = free.minus(taken)
+        return free
+
+    def take_load(self, load: AgentLoad, now: float) -> None:
+        """Take in a load report; reports overtaken by a newer one count only as a sign of life."""
+        self.heard_at = now
+        if load.number <= self.newest_load:
+            return
+        self.newest_load = load.number
+        self.offered = Room(load.cpu, load.mem_mb, load.gpu)
+        self.slowness = load.slowness_percent / 100
+        for number in [number for number in self.pending if number <= load.applied]:
+            del self.pending[number]
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the agent was heard of lately."""
+        return now - self.heard_at <= SILENT_S
+
+
+class Wish(NamedTuple):
+    """What a task asks of an endpoint.
+
+    ``avoid`` names endpoints on which it ended badly; ``full`` those that hold all they may of
+    its step.
+    """
+
+    service: str
+    need: Room
+    requires: str = ""
+    prefers: str = ""
+    avoid: frozenset[str] = frozenset()
+    full: frozenset[str] = frozenset()
+
+
+class FleetView:
+    """The agents that an entry is connected to; pure.
+
+    Parameters
+    ----------
+    lease_s : float
+        The lease that agents ask of endpoints, in seconds.
+    failure_domain : str
+        The entry's own; agents there are preferred among equals.
+    rng : Random
+        Breaks ties, so that entries do not all choose the same agent.
+    """
+
+    def __init__(self, lease_s: float, failure_domain: str, rng: Random) -> None:
+        self.agents: dict[str, AgentView] = {}
+        self._lease_s = lease_s
+        self._failure_domain = failure_domain
+        self._rng = rng
+
+    def of(self, process: str) -> AgentView:
+        """The view of an agent's process, made when it is new."""
+        return self.agents.setdefault(process, AgentView(process))
+
+    def is_over(self, process: str, now: float) -> bool:
+        """Whether nothing that the agent was assigned can still run."""
+        view = self.agents.get(process)
+        return view is None or now > surely_over(view.heard_at, self._lease_s)
+
+    def reachable(self, now: float) -> list[AgentView]:
+        """Agents heard of lately that have an endpoint."""
+        return [a for a in self.agents.values() if a.is_fresh(now) and a.state is not None]
+
+    def serving(self, service: str, now: float) -> list[AgentView]:
+        """Reachable agents that start runs of a service."""
+        return [
+            agent
+            for agent in self.reachable(now)
+            if agent.state is not None
+            and agent.state.accepting
+            and agent.state.service == service
+            and now >= agent.failed_until
+        ]
+
+    def capacity(self, service: str, now: float) -> Room:
+        """Room of all endpoints that serve a service."""
+        total = NO_ROOM
+        for agent in self.serving(service, now):
+            total = total.plus(_capacity_of(agent))
+        return total
+
+    def choose(self, wish: Wish, serving: Iterable[AgentView]) -> AgentView | None:
+        """The best of some serving agents for a task; None when none has room for it."""
+        agents = list(serving)
+        if len(agents) > SAMPLE:
+            agents = self._rng.sample(agents, SAMPLE)
+        able = [agent for agent in agents if self._suits(agent, wish)]
+        if not able:
+            return None
+        return min(able, key=lambda agent: self._cost(agent, wish))
+
+    def _suits(self, agent: AgentView, wish: Wish) -> bool:
+        state = agent.state
+        if state is None or state.endpoint in wish.avoid or state.endpoint in wish.full:
+            return False
+        if wish.requires and wish.requires not in state.labels:
+            return False
+        return agent.free.fits(wish.need)
+
+    def _cost(self, agent: AgentView, wish: Wish) -> tuple[bool, int, float, float]:
+        state = agent.state
+        far = bool(wish.prefers) and (state is None or wish.prefers not in state.labels)
+        slowness = round(max(agent.slowness, 1.0) / SLOWNESS_STEP)
+        busy = 1 - agent.free.share_of(_capacity_of(agent))
+        return far, slowness, busy, self._rng.random()
+
+
+def _capacity_of(agent: AgentView) -> Room:
+    state = agent.state
+    return NO_ROOM if state is None else Room(state.cpu, state.mem_mb, state.gpu)
--- /dev/null
+++ b/src/gentianmux/leased/job_state.py
@@ -0,0 +1,168 @@
+"""The state of one leased job at the entry that coordinates it."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .model import How, JobSpec, QueueRules, StepSpec
+
+FIRST_RUN = 1
+"""Runs of a task are numbered from here."""
+
+OLD_RUN_STEP = 8
+"""How far a run's number leaps when an endpoint knows a newer one, from an earlier submission."""
+
+
+class Phase(Enum):
+    """Where a task is."""
+
+    WAITING = "waiting"
+    OUT = "out"
+    DONE = "done"
+
+
+class Outcome(Enum):
+    """What became of a job."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass
+class TaskState:
+    """One task of a job."""
+
+    name: str
+    step: int
+    phase: Phase = Phase.WAITING
+    run: int = FIRST_RUN - 1
+    agent: str = ""
+    endpoint: str = ""
+    failures: int = 0
+    sent_at: float = 0.0
+    avoid: set[str] = field(default_factory=set)
+
+
+class JobState:
+    """A job's tasks, and what may be said of the job; pure.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        What the caller asked for.
+    queue : QueueRules
+        The rules of its queue.
+    now : float
+        Monotonic time of its arrival, in seconds.
+    deadline : float
+        Monotonic time after which nobody waits for its answer.
+
+    Attributes
+    ----------
+    objective_s : float
+        Latency objective: the stretched estimate of the longest chain, and the allowance.
+    """
+
+    def __init__(self, spec: JobSpec, queue: QueueRules, now: float, deadline: float) -> None:
+        self.spec = spec
+        self.queue = queue
+        self.arrived = now
+        self.deadline = deadline
+        self.chain_s = _longest_chain_ms(spec.steps) / 1000
+        self.objective_s = queue.stretch * self.chain_s + queue.target_ms / 1000
+        self.began = False
+        self.may_have_run = False
+        self.failed = False
+        self.tasks: dict[str, TaskState] = {}
+        for number, step in enumerate(spec.steps):
+            for index in range(step.tasks):
+                name = f"{spec.job_id}.0.{number}.{index}"
+                self.tasks[name] = TaskState(name, number)
+
+    @property
+    def latest_start(self) -> float:
+        """When the job has to begin to meet its objective, by its estimate."""
+        return self.arrived + self.objective_s - self.chain_s
+
+    @property
+    def work_cpu_s(self) -> float:
+        """Estimated work in core-seconds."""
+        return sum(s.tasks * s.need.cpu * s.estimate_ms for s in self.spec.steps) / 1e6
+
+    def step_of(self, task: TaskState) -> StepSpec:
+        """The step that a task belongs to."""
+        return self.spec.steps[task.step]
+
+    def ready(self) -> Iterator[TaskState]:
+        """Waiting tasks whose earlier steps are done."""
+        open_steps = {t.step for t in self.tasks.values() if t.phase is not Phase.DONE}
+        for task in self.tasks.values():
+            blocked = open_steps.intersection(self.step_of(task).after)
+            if task.phase is Phase.WAITING and not blocked:
+                yield task
+
+    def out(self) -> list[TaskState]:
+        """Tasks that an agent has."""
+        return [task for task in self.tasks.values() if task.phase is Phase.OUT]
+
+    def full_endpoints(self, task: TaskState) -> frozenset[str]:
+        """Endpoints that may hold no more tasks of a task's step."""
+        most = self.step_of(task).max_per_endpoint
+        if not most:
+            return frozenset()
+        held = Counter(
+            t.endpoint for t in self.tasks.values() if t.step == task.step and t.phase is Phase.OUT
+        )
+        return frozenset(endpoint for endpoint, count in held.items() if count >= most)
+
+    def assign(self, task: TaskState, agent: str, endpoint: str, now: float) -> int:
+        """Hand a task to an agent and return the number of its run."""
+        task.phase = Phase.OUT
+        task.run += 1
+        task.agent = agent
+        task.endpoint = endpoint
+        task.sent_at = now
+        self.began = True
+        return task.run
+
+    def ended(self, name: str, run: int, how: How) -> bool:
+        """Take in how a run ended; false for one that is not, or no longer, out."""
+        task = self.tasks.get(name)
+        if task is None or task.phase is not Phase.OUT or task.run != run:
+            return False
+        if not how.never_ran:
+            self.may_have_run = True
+        if how is How.DONE:
+            task.phase = Phase.DONE
+            return True
+        task.phase = Phase.WAITING
+        if how is How.OLD_RUN:
+            task.run += OLD_RUN_STEP
+        elif how not in (How.NO_ROOM, How.DRAINING):
+            task.avoid.add(task.endpoint)
+        if how is How.FAILED:
+            task.failures += 1
+            self.failed = self.failed or task.failures >= self.queue.max_attempts
+        return True
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task has ended well."""
+        return all(task.phase is Phase.DONE for task in self.tasks.values())
+
+    @property
+    def proved_not_run(self) -> bool:
+        """Whether nothing of the job has started, and nothing of it is out."""
+        return not self.may_have_run and not self.out()
+
+
+def _longest_chain_ms(steps: tuple[StepSpec, ...]) -> int:
+    ends: list[int] = []
+    for step in steps:
+        earlier = max((ends[number] for number in step.after if number < len(ends)), default=0)
+        ends.append(earlier + step.estimate_ms)
+    return max(ends, default=0)
--- /dev/null
+++ b/src/gentianmux/leased/run_table.py
@@ -0,0 +1,205 @@
+"""What an agent has asked its endpoint to run, from the order until the proof that it is gone."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from .model import HoldReply, How
+from .progress import Progress
+from .room import Room, RoomAccount
+
+RunKey = tuple[str, int]
+"""A task's name and the number of its run."""
+
+MISSING_LOOKS = 2
+"""Looks in which a confirmed run is neither active nor ended before it is stopped for good."""
+
+
+class Phase(Enum):
+    """How far a run is; room is held in all of them."""
+
+    STARTING = "starting"
+    DOUBTFUL = "doubtful"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass
+class Run:
+    """One run at the endpoint, and for whom it runs."""
+
+    key: RunKey
+    entry: str
+    need: Room
+    estimate_ms: int
+    began: float
+    phase: Phase = Phase.STARTING
+    answered_at: float = 0.0
+    stop_why: How = How.STOPPED
+    stopped_at: float | None = None
+    missing: int = 0
+    progress: Progress = field(default_factory=lambda: Progress(0.0))
+
+
+class Finished(NamedTuple):
+    """A run that is gone, and how."""
+
+    run: Run
+    how: How
+
+
+class RunTable:
+    """The account of one endpoint's runs; pure, fed with answers and looks.
+
+    Room returns only on proof: an end that the endpoint lists, a start that it refused, or a
+    confirmed stop followed by a look that no longer shows the run.
+
+    Examples
+    --------
+    >>> table = RunTable()
+    >>> table.reset(Room(2000, 64))
+    >>> table.begin(("t", 1), "e1", Room(1600, 64), 100, now=0.0)
+    True
+    >>> table.room.free.cpu
+    400
+    """
+
+    def __init__(self) -> None:
+        self.runs: dict[RunKey, Run] = {}
+        self.room = RoomAccount()
+        self.acknowledged = 0
+        self.foreign: set[RunKey] = set()
+        self.looked = False
+
+    def reset(self, capacity: Room) -> None:
+        """Begin with another life of the endpoint, which runs nothing of ours."""
+        self.runs.clear()
+        self.room = RoomAccount(capacity)
+        self.acknowledged = 0
+        self.foreign = set()
+        self.looked = False
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the endpoint was looked at and runs nothing that an earlier agent began."""
+        return self.looked and not self.foreign
+
+    def begin(self, key: RunKey, entry: str, need: Room, estimate_ms: int, now: float) -> bool:
+        """Take room for a run about to be started; false when there is none."""
+        if key in self.runs or not self.room.take(key, need):
+            return False
+        self.runs[key] = Run(key, entry, need, estimate_ms, now, progress=Progress(now))
+        return True
+
+    def runs_of_task(self, task: str) -> list[Run]:
+        """Runs of a task that are not yet gone."""
+        return [run for run in self.runs.values() if run.key[0] == task]
+
+    def of_entry(self, entry: str) -> list[Run]:
+        """Runs that an entry answers for."""
+        return [run for run in self.runs.values() if run.entry == entry]
+
+    def started(self, key: RunKey, now: float) -> None:
+        """Note that the endpoint confirmed a start."""
+        run = self.runs.get(key)
+        if run is not None:
+            run.answered_at = now
+            if run.phase is Phase.STARTING:
+                run.phase = Phase.RUNNING
+
+    def refused(self, key: RunKey, how: How) -> Finished | None:
+        """Note that the endpoint refused a start, which proves that it did nothing."""
+        return self._finish(key, how)
+
+    def unanswered(self, key: RunKey, now: float) -> None:
+        """Note that a start got no answer: it may be done already, later, or never."""
+        run = self.runs.get(key)
+        if run is not None and run.phase is Phase.STARTING:
+            run.phase = Phase.DOUBTFUL
+            run.answered_at = now
+
+    def want_stopped(self, key: RunKey, why: How) -> bool:
+        """Mark a run to be stopped; false when it is gone or being stopped."""
+        run = self.runs.get(key)
+        if run is None or run.phase is Phase.STOPPING:
+            return False
+        run.phase = Phase.STOPPING
+        run.stop_why = why
+        return True
+
+    def stop_confirmed(self, key: RunKey, now: float) -> None:
+        """Note that the endpoint will not begin this run any more, and is ending it."""
+        run = self.runs.get(key)
+        if run is not None and run.stopped_at is None:
+            run.stopped_at = now
+
+    def unconfirmed_stops(self) -> list[RunKey]:
+        """Runs, also foreign ones, that still have to be told to stop."""
+        mine = [
+            run.key
+            for run in self.runs.values()
+            if run.phase is Phase.STOPPING and run.stopped_at is None
+        ]
+        return [*mine, *sorted(self.foreign)]
+
+    def looked_at(self, reply: HoldReply, now: float) -> list[Finished]:
+        """Take in an endpoint's lists and return the runs that are now proved gone."""
+        self.looked = True
+        finished = list(self._take_ends(reply))
+        active = {(row.task, row.run): row.percent for row in reply.active}
+        self.foreign = {key for key in active if key not in self.runs}
+        for run in list(self.runs.values()):
+            if run.key in active:
+                self._seen_active(run, active[run.key], now)
+            else:
+                finished += self._not_listed(run, reply.asked_at)
+        return finished
+
+    def _take_ends(self, reply: HoldReply) -> Iterator[Finished]:
+        for row in reply.ended:
+            if row.number <= self.acknowledged:
+                continue
+            self.acknowledged = row.number
+            run = self.runs.get((row.task, row.run))
+            if run is None:
+                continue
+            how = run.stop_why if row.how is How.STOPPED else row.how
+            # A run that did begin is never reported as one that did nothing.
+            how = How.STOPPED if how.never_ran else how
+            done = self._finish(run.key, how)
+            if done is not None:
+                yield done
+
+    def _seen_active(self, run: Run, percent: float, now: float) -> None:
+        run.missing = 0
+        run.progress = run.progress.seen(percent, now)
+        if run.phase in (Phase.STARTING, Phase.DOUBTFUL):
+            run.phase = Phase.RUNNING
+            run.answered_at = now
+        if run.phase is Phase.STOPPING and run.stop_why.never_ran:
+            run.stop_why = How.STOPPED
+
+    def _not_listed(self, run: Run, asked_at: float) -> Iterator[Finished]:
+        if run.phase is Phase.DOUBTFUL and asked_at > run.answered_at:
+            self.want_stopped(run.key, How.NOT_STARTED)
+        elif run.phase is Phase.RUNNING and asked_at > run.answered_at:
+            run.missing += 1
+            if run.missing >= MISSING_LOOKS:
+                self.want_stopped(run.key, How.LOST)
+        elif run.stopped_at is not None and asked_at > run.stopped_at:
+            done = self._finish(run.key, run.stop_why)
+            if done is not None:
+                yield done
+
+    def lose_all(self) -> list[Finished]:
+        """End every run: its endpoint's life, or every lease, is over."""
+        finished = [self._finish(key, How.LOST) for key in list(self.runs)]
+        return [each for each in finished if each is not None]
+
+    def _finish(self, key: RunKey, how: How) -> Finished | None:
+        run = self.runs.pop(key, None)
+        if run is None:
+            return None
+        self.room.give_back(key)
+        return Finished(run, how)
--- a/src/gentianmux/memory_log.py
+++ b/src/gentianmux/memory_log.py
@@ -85,3 +85,66 @@
     def oldest(self, stream: str) -> int:
         """Offset of the oldest record kept, or of the next one when none is."""
         return self._oldest.get(stream, 0)
+
+
+class Newest(NamedTuple):
+    """The newest value of each key of a keyed topic, and the offset that follows them."""
+
+    values: dict[str, bytes]
+    end: int
+
+
+class Changes(NamedTuple):
+    """Records of a keyed topic in their order, and the offset that follows them."""
+
+    values: list[tuple[str, bytes]]
+    end: int
+
+
+class KeyedLog(Protocol):
+    """What gentianmux relies on in topics of which the newest record of each key is kept.
+
+    Every call raises a ``LogError``: ``LOG_UNAVAILABLE`` when no usable answer came, and a write
+    may then have taken effect; ``LOG_TRIMMED`` when records asked for are no longer kept.
+    """
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Make a value the newest of its key; an empty one drops the key."""
+        ...
+
+    def newest(self, topic: str) -> Newest:
+        """Read the newest value of each key."""
+        ...
+
+    def changes(self, topic: str, offset: int, wait_s: float) -> Changes:
+        """Read what came from an offset on, waiting up to ``wait_s`` for something to come."""
+        ...
+
+
+class MemoryKeyedLog:
+    """Keyed topics in memory, for tests.
+
+    Examples
+    --------
+    >>> log = MemoryKeyedLog()
+    >>> log.put("agents", "w1", b"{}")
+    >>> log.newest("agents")
+    Newest(values={'w1': b'{}'}, end=1)
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, list[tuple[str, bytes]]] = {}
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Make a value the newest of its key."""
+        self._records.setdefault(topic, []).append((key, value))
+
+    def newest(self, topic: str) -> Newest:
+        """Read the newest value of each key."""
+        records = self._records.get(topic, [])
+        return Newest({key: value for key, value in dict(records).items() if value}, len(records))
+
+    def changes(self, topic: str, offset: int, wait_s: float) -> Changes:
+        """Read what came from an offset on; this one never waits."""
+        records = self._records.get(topic, [])
+        return Changes(records[offset:], len(records))
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -328,6 +328,111 @@
     updates: list[MemberUpdate]
 
 
+class LeasedTask(NamedTuple):
+    """One run of a task for an agent to start; resources as in ``leased.room.Room``."""
+
+    name: str
+    run: int
+    payload: bytes
+    cpu: int
+    mem_mb: int
+    gpu: int
+    estimate_ms: int
+
+
+class Assign(NamedTuple):
+    """An entry hands runs to an agent.
+
+    ``echo`` is the newest load report that the entry has seen of the agent; ``number`` counts
+    the entry's assignments to it, and comes back as ``AgentLoad.applied``.
+    """
+
+    echo: int
+    number: int
+    tasks: list[LeasedTask]
+
+
+class RunRef(NamedTuple):
+    """Names one run of a task."""
+
+    task: str
+    run: int
+
+
+class Withdraw(NamedTuple):
+    """An entry no longer wants these runs."""
+
+    runs: list[RunRef]
+
+
+class EndedRun(NamedTuple):
+    """How one run left an agent; ``how`` is a ``leased.model.How``."""
+
+    number: int
+    task: str
+    run: int
+    how: int
+    ran_ms: int
+
+
+class EndedRuns(NamedTuple):
+    """Runs that have left an agent, sent again until the entry has acknowledged them."""
+
+    runs: list[EndedRun]
+
+
+class SeenRuns(NamedTuple):
+    """The entry has taken in every ended run up to this number."""
+
+    up_to: int
+
+
+class Holding(NamedTuple):
+    """All runs that an agent holds for an entry, said when a connection opens."""
+
+    applied: int
+    runs: list[RunRef]
+
+
+class AgentLoad(NamedTuple):
+    """An agent's numbered load report: the room it offers, after assignment ``applied``."""
+
+    number: int
+    applied: int
+    cpu: int
+    mem_mb: int
+    gpu: int
+    slowness_percent: int
+    config_version: int
+
+
+class LoadEcho(NamedTuple):
+    """The newest load report that an entry has seen of the agent, and its configuration."""
+
+    number: int
+    config_version: int
+
+
+class EndpointState(NamedTuple):
+    """The endpoint beside an agent, and whether the agent starts anything there."""
+
+    endpoint: str
+    service: str
+    failure_domain: str
+    cpu: int
+    mem_mb: int
+    gpu: int
+    labels: list[str]
+    accepting: bool
+
+
+class SharedConfig(NamedTuple):
+    """A version of the operators' configuration, handed on as it was published."""
+
+    version: int
+    body: bytes
+
+
 Message = (
     Hello
     | Submit
@@ -354,4 +459,13 @@
     | RecordsReply
     | StatePull
     | StateBody
+    | Assign
+    | Withdraw
+    | EndedRuns
+    | SeenRuns
+    | Holding
+    | AgentLoad
+    | LoadEcho
+    | EndpointState
+    | SharedConfig
 )
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -1,7 +1,9 @@
-"""Counters and gauges, sent by statsd and kept for ``/metrics.json``."""
+"""Counters, gauges and histograms, sent by statsd and kept for whoever asks this process."""
 
+from bisect import bisect_left
 from collections import Counter
-from typing import NamedTuple
+from collections.abc import Iterator
+from typing import Any, NamedTuple
 
 import statsd
 
@@ -36,8 +38,52 @@
     "loop_lag_ms": Metric("gauge", "ms", "How late the event loop ran its last timer."),
     "bad_frames": Metric("counter", "frames", "Frames that could not be read."),
     "ejections": Metric("counter", "agents", "Agents no longer chosen since their tasks fail."),
+    "jobs_admitted": Metric("counter", "jobs", "Leased jobs taken on."),
+    "jobs_joined": Metric("counter", "jobs", "Submissions that joined a job already at work."),
+    "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
+    "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
+    "runs_assigned": Metric("counter", "runs", "Runs handed to agents."),
+    "runs_back": Metric("counter", "runs", "Runs that agents reported as ended, by how."),
+    "runs_withdrawn": Metric("counter", "runs", "Runs taken back from agents."),
+    "late_ends": Metric("counter", "runs", "Ends of runs that nothing waits for, by how."),
+    "runs_started": Metric("counter", "runs", "Runs begun at the endpoint."),
+    "runs_refused": Metric("counter", "runs", "Runs that an agent did not begin, by how."),
+    "runs_ended": Metric("counter", "runs", "Runs that left the endpoint, by how."),
+    "runs_stopped": Metric("counter", "runs", "Runs that an agent stopped, by how."),
+    "runs_stalled": Metric("counter", "runs", "Runs that made no progress."),
+    "run_seconds": Metric("histogram", "s", "Time that a run took at the endpoint."),
+    "starts_unanswered": Metric("counter", "starts", "Starts that the endpoint did not answer."),
+    "endpoint_silences": Metric("counter", "calls", "Looks that the endpoint did not answer."),
+    "link_dials_failed": Metric("counter", "dials", "Connections to peers that failed, by error."),
+    "links_refused": Metric("counter", "links", "Connections without a usable hello, by error."),
+    "config_version": Metric("gauge", "version", "Version of the configuration in force."),
+    "configs_unreadable": Metric("counter", "configs", "Configurations that cannot be read."),
+    "store_errors": Metric("counter", "calls", "Calls of the platform's store that failed."),
+    "logs_dropped": Metric("counter", "lines", "Log lines dropped since nobody took them."),
 }
 
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0)
+"""Upper bounds in seconds: tasks last from 0.05 to some seconds, objectives from 0.1 to 3."""
+
+
+class Histogram:
+    """Counts of observations by ``BUCKETS_S``, the last one without a bound, and their sum."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.sum = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one observation."""
+        self.counts[bisect_left(BUCKETS_S, seconds)] += 1
+        self.sum += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Upper bound and number of observations up to it, for each bucket."""
+        bounds = [*map(str, BUCKETS_S), "+Inf"]
+        totals = [sum(self.counts[: end + 1]) for end in range(len(self.counts))]
+        return [(bound, float(total)) for bound, total in zip(bounds, totals, strict=True)]
+
 
 class Metrics:
     """Counts what happens; each name is in ``METRICS``, with a label behind a dot.
@@ -53,6 +99,7 @@
     def __init__(self, cfg: Settings) -> None:
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
+        self._histograms: dict[tuple[str, str], Histogram] = {}
         self._client: statsd.StatsClient | None = None
         if cfg.statsd:
             ip, _, port = cfg.statsd.partition(":")
@@ -67,6 +114,38 @@
         """Set a gauge."""
         self._gauges[name] = value
 
+    def observe(self, name: str, seconds: float, label: str = "") -> None:
+        """Count a duration in a histogram."""
+        self._histograms.setdefault((name, label), Histogram()).observe(seconds)
+
+    def text(self) -> bytes:
+        """Everything in the text form that metrics collectors read."""
+        # Read only while somebody looks, so its 3 MB are not taken from every process.
+        from prometheus_client.exposition import generate_latest
+
+        return bytes(generate_latest(self))
+
+    def collect(self) -> Iterator[Any]:
+        """Yield metric families, for ``text``."""
+        from prometheus_client import core
+
+        for name, metric in METRICS.items():
+            full = f"gentianmux_{name}"
+            if metric.kind == "counter":
+                counter = core.CounterMetricFamily(full, metric.meaning, labels=["label"])
+                for key, count in self._counters.items():
+                    if key.partition(".")[0] == name:
+                        counter.add_metric([key.partition(".")[2]], count)
+                yield counter
+            elif metric.kind == "gauge":
+                yield core.GaugeMetricFamily(full, metric.meaning, self._gauges.get(name, 0))
+            else:
+                family = core.HistogramMetricFamily(full, metric.meaning, labels=["label"])
+                for (named, label), histogram in self._histograms.items():
+                    if named == name:
+                        family.add_metric([label], histogram.cumulative(), histogram.sum)
+                yield family
+
     def total(self, name: str) -> int:
         """Sum of a counter over its labels."""
         return sum(
--- a/src/gentianmux/peers.py
+++ b/src/gentianmux/peers.py
@@ -1,106 +1,28 @@
 """Connections between gentianmux processes, over TCP by IP number."""
 
 import errno
-import os
-import socket
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
 from gevent import socket as gsocket
-from gevent.event import Event
 from gevent.server import StreamServer
 from loguru import logger
 
 from .board import Board
 from .codec import decode, encode
 from .codes import ResultCode
+from .conn import Conn, quietly, receive, tune
 from .errors import FrameError
 from .frames import pack, split_frames
 from .messages import PROTOCOL_VERSION, Hello, Message
 
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
-UNACKED_TIMEOUT_MS = 5000
-MAX_OUTBOX_BYTES = 32 * 1024 * 1024
-RECEIVE_BYTES = 256 * 1024
 
 Handler = Callable[[Message, Board, str], None]
 
 
-class Conn:
-    """One connection to a peer; what is sent before it opens waits in its outbox.
-
-    Attributes
-    ----------
-    opened : bool
-        Whether the peer proved to be the process that was meant; nothing leaves before.
-    refused : bool
-        Whether the host answered that nothing listens there, or that another process does.
-    """
-
-    def __init__(self, process: str, address: str) -> None:
-        self.process = process
-        self.address = address
-        self.opened = False
-        self.closed = False
-        self.refused = False
-        self.sock: Any = None
-        self._outbox: list[bytes] = []
-        self._outbox_bytes = 0
-        self._wake = Event()
-        self._writing = False
-        self._plain: Any = None
-
-    def open(self) -> None:
-        """Begin to send what is put."""
-        # A second object on the same descriptor, whose send never waits.
-        self._plain = socket.socket(fileno=os.dup(self.sock.fileno()))
-        self._plain.setblocking(False)
-        self.opened = True
-        self._wake.set()
-
-    def put(self, frame: bytes) -> bool:
-        """Queue a frame; false when the connection is closed or its outbox is full."""
-        if self.closed or self._outbox_bytes + len(frame) > MAX_OUTBOX_BYTES:
-            return False
-        if self.opened and not self._outbox and not self._writing:
-            frame = frame[self._send_now(frame) :]
-            if not frame:
-                return True
-        self._outbox.append(frame)
-        self._outbox_bytes += len(frame)
-        self._wake.set()
-        return True
-
-    def write_out(self) -> None:
-        """Send what is in the outbox for as long as the connection is open."""
-        while not self.closed:
-            self._wake.wait()
-            self._wake.clear()
-            data, self._outbox, self._outbox_bytes = b"".join(self._outbox), [], 0
-            if data:
-                self._writing = True
-                self.sock.sendall(data)
-                self._writing = False
-
-    def _send_now(self, frame: bytes) -> int:
-        """Hand as much to the kernel as it takes at once, without a turn of the event loop."""
-        try:
-            return int(self._plain.send(frame, socket.MSG_DONTWAIT))
-        except OSError:
-            return 0
-
-    def close(self) -> None:
-        """Close at once."""
-        self.closed = True
-        self._wake.set()
-        if self.sock is not None:
-            self.sock.close()
-        if self._plain is not None:
-            self._plain.close()
-
-
 class Peers:
     """Sends messages to processes by name and hands on what they send.
 
@@ -190,9 +112,9 @@
         except OSError as exc:
             conn.refused = exc.errno == errno.ECONNREFUSED
             return None
-        _tune(sock)
+        tune(sock)
         conn.sock = sock
-        frames = split_frames(_receive(sock), self._key)
+        frames = split_frames(receive(sock), self._key)
         try:
             with gevent.Timeout(HELLO_TIMEOUT_S):
                 sock.sendall(pack(encode(self._hello()), self._key))
@@ -204,8 +126,8 @@
         return None if conn.refused else frames
 
     def _serve(self, sock: Any, _address: object) -> None:
-        _tune(sock)
-        frames = split_frames(_receive(sock), self._key)
+        tune(sock)
+        frames = split_frames(receive(sock), self._key)
         conn = Conn("", "")
         conn.sock = sock
         self._open.add(conn)
@@ -226,7 +148,7 @@
     def _run(self, conn: Conn, frames: Iterator[bytes]) -> None:
         conn.open()
         self._open.add(conn)
-        writer = gevent.spawn(_quietly, conn.write_out)
+        writer = gevent.spawn(quietly, conn.write_out)
         try:
             for body in frames:
                 msg = decode(body)
@@ -265,24 +187,3 @@
     if msg.version != PROTOCOL_VERSION:
         raise FrameError(ResultCode.BAD_VERSION, f"version {msg.version}")
     return msg
-
-
-def _receive(sock: Any) -> Iterator[bytes]:
-    while True:
-        data = sock.recv(RECEIVE_BYTES)
-        if not data:
-            return
-        yield data
-
-
-def _tune(sock: Any) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
-    sock.settimeout(None)
-
-
-def _quietly(write_out: Callable[[], None]) -> None:
-    try:
-        write_out()
-    except OSError:
-        return
--- /dev/null
+++ b/src/gentianmux/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and gentianmux; decides nothing."""
--- /dev/null
+++ b/src/gentianmux/platform/callers.py
@@ -0,0 +1,243 @@
+"""The platform's callers: jobs in and answers out, by HTTP as its page says."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from loguru import logger
+
+from ..codes import ResultCode
+from ..errors import GentianmuxError
+from ..http_server import read_body
+from ..leased.caller_watch import wait_for_verdict
+from ..leased.config_feed import ConfigFeed
+from ..leased.entry import Entry
+from ..leased.job_state import Outcome
+from ..leased.model import JobSpec, QueueRules, StepSpec
+from ..leased.room import Room
+from ..metrics import Metrics
+from ..settings import Settings
+
+MAX_PAYLOAD_BYTES = 4000
+"""Bytes of a job's payload, from the platform's page."""
+
+MAX_TASKS = 1000
+"""Tasks of a job; the largest that callers send has 150."""
+
+RETRY_AFTER_S = 1
+"""Seconds after which a process without a configuration may be asked again."""
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+_NOT_SERVED_OF_JOB = ("run_count",)
+_NOT_SERVED_OF_STEP = (
+    "gang",
+    "same_rack",
+    "speculative",
+    "long_running",
+    "fills",
+    "target_ms",
+    "max_unavailable",
+)
+_STATES = {Outcome.COMPLETED: "completed", Outcome.FAILED: "failed"}
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+StartResponse = Callable[..., Any]
+
+
+class Response(NamedTuple):
+    """An answer to a caller."""
+
+    status: int
+    content: dict[str, Any]
+    retry_after_s: int = 0
+
+
+class CallerApp:
+    """The WSGI application at an entry's address for callers.
+
+    Parameters
+    ----------
+    entry : Entry
+        Takes the jobs.
+    feed : ConfigFeed
+        Says which queues there are.
+    cfg : Settings
+        Bounds on bodies.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(self, entry: Entry, feed: ConfigFeed, cfg: Settings, metrics: Metrics) -> None:
+        self._entry = entry
+        self._feed = feed
+        self._cfg = cfg
+        self._metrics = metrics
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        try:
+            response = self._answer(environ)
+        except GentianmuxError as exc:
+            response = _refusal(exc)
+        except Exception as exc:
+            logger.bind(code=int(ResultCode.INTERNAL)).exception("request failed")
+            response = _refusal(GentianmuxError(ResultCode.INTERNAL, type(exc).__name__))
+        self._metrics.count("answers", label=str(response.status))
+        if response.status not in (200, 410):
+            logger.bind(
+                method=environ["REQUEST_METHOD"],
+                path=environ.get("PATH_INFO", "")[:100],
+                status=response.status,
+                config_version=self._feed.version,
+                **response.content,
+            ).info("refused")
+        return self._write(response, start_response)
+
+    def _write(self, response: Response, start_response: StartResponse) -> Iterable[bytes]:
+        body = json.dumps(response.content).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        if response.retry_after_s:
+            headers.append(("Retry-After", str(response.retry_after_s)))
+        if self._entry.leaving:
+            headers.append(("Connection", "close"))
+        start_response(f"{response.status} {_REASONS[response.status]}", headers)
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> Response:
+        queue, rest = self._queue_of(environ)
+        method = environ["REQUEST_METHOD"]
+        if method == "GET" and not rest:
+            return Response(200, {"pending": self._entry.pending(queue.name)})
+        if not _JOB_ID.match(rest):
+            raise GentianmuxError(ResultCode.BAD_ID, "a job id has 16 hexadecimal digits")
+        if method == "POST":
+            return self._submit(environ, queue, rest)
+        if method == "DELETE":
+            return Response(200 if self._entry.cancel(rest) else 410, {"state": "cancelled"})
+        if method == "GET":
+            # Jobs answered by their POST are not kept, so none is known here.
+            return Response(410, {"error": "no such job is kept"})
+        raise GentianmuxError(ResultCode.METHOD_NOT_ALLOWED, method)
+
+    def _queue_of(self, environ: dict[str, Any]) -> tuple[QueueRules, str]:
+        config = self._feed.current
+        if config is None:
+            raise GentianmuxError(ResultCode.CONFIG_MISSING, retry_after_ms=RETRY_AFTER_S * 1000)
+        host = environ.get("HTTP_HOST", "").partition(":")[0].lower()
+        path = environ.get("PATH_INFO", "")
+        found = [q for q in config.queues if q.host == host and path.startswith(q.prefix)]
+        if not found:
+            raise GentianmuxError(ResultCode.NOT_FOUND, "no queue has this host and path")
+        queue = max(found, key=lambda each: len(each.prefix))
+        return queue, path[len(queue.prefix) :]
+
+    def _submit(self, environ: dict[str, Any], queue: QueueRules, job_id: str) -> Response:
+        time_limit_s = _time_limit_s(environ, queue)
+        spec = read_job(job_id, read_body(environ, self._cfg))
+        if self._entry.leaving_soon:
+            raise GentianmuxError(ResultCode.DRAINING, retry_after_ms=RETRY_AFTER_S * 1000)
+        ticket = self._entry.submit(spec, queue, time_limit_s)
+        verdict = wait_for_verdict(self._entry, ticket, environ.get("gentianmux.socket"))
+        if verdict.outcome in _STATES:
+            return Response(200, {"state": _STATES[verdict.outcome]})
+        if verdict.outcome is Outcome.CANCELLED:
+            return Response(200, {"state": "cancelled"})
+        status = 503 if verdict.outcome is Outcome.NOT_RUN else 504
+        content = {"error": verdict.reason, "job": job_id, "outcome": verdict.outcome.value}
+        return Response(status, content, verdict.retry_after_s)
+
+
+def _time_limit_s(environ: dict[str, Any], queue: QueueRules) -> float:
+    text = environ.get("HTTP_GENTIANMUX_DEADLINE_MS", "")
+    if not text:
+        return max(1, queue.timeout_ms) / 1000
+    try:
+        limit_ms = float(text)
+    except ValueError as exc:
+        raise GentianmuxError(ResultCode.BAD_HEADER, "the deadline is no number") from exc
+    if not 0 < limit_ms < 1e9:
+        raise GentianmuxError(ResultCode.BAD_HEADER, "the deadline is out of range")
+    return limit_ms / 1000
+
+
+def read_job(job_id: str, body: bytes) -> JobSpec:
+    """Decode a job.
+
+    Raises
+    ------
+    GentianmuxError
+        ``BAD_JSON`` or ``BAD_FIELD`` for what is no job, ``NOT_SERVED`` for what is not served.
+    """
+    try:
+        content = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise GentianmuxError(ResultCode.BAD_JSON) from exc
+    if not isinstance(content, dict):
+        raise GentianmuxError(ResultCode.BAD_JSON)
+    payload = content.get("spec", "")
+    if not isinstance(payload, str) or not _is_payload(payload):
+        raise GentianmuxError(ResultCode.BAD_FIELD, "spec is no text of up to 4,000 bytes")
+    _refuse_not_served(content)
+    rows = content.get("steps")
+    if not isinstance(rows, list) or not rows or not all(isinstance(row, dict) for row in rows):
+        raise GentianmuxError(ResultCode.BAD_FIELD, "steps is no list of steps")
+    steps = tuple(_step(number, row) for number, row in enumerate(rows))
+    if sum(step.tasks for step in steps) > MAX_TASKS:
+        raise GentianmuxError(ResultCode.TOO_MANY_TASKS, f"more than {MAX_TASKS} tasks")
+    return JobSpec(job_id, payload, steps)
+
+
+def _is_payload(text: str) -> bool:
+    try:
+        return len(text.encode()) <= MAX_PAYLOAD_BYTES
+    except UnicodeEncodeError:
+        return False
+
+
+def _refuse_not_served(content: dict[str, Any]) -> None:
+    if not content.get("best_effort"):
+        raise GentianmuxError(ResultCode.NOT_SERVED, "jobs that have to be kept")
+    for name in _NOT_SERVED_OF_JOB:
+        if content.get(name):
+            raise GentianmuxError(ResultCode.NOT_SERVED, f"jobs with {name}")
+
+
+def _step(number: int, row: dict[str, Any]) -> StepSpec:
+    for name in _NOT_SERVED_OF_STEP:
+        if row.get(name):
+            raise GentianmuxError(ResultCode.NOT_SERVED, f"steps with {name}")
+    after = row.get("after", [])
+    if not isinstance(after, list) or not all(type(n) is int and 0 <= n < number for n in after):
+        raise GentianmuxError(ResultCode.BAD_FIELD, "after names a step that does not come before")
+    # ``anti_affinity`` is a number: the most tasks of the step on one endpoint.
+    return StepSpec(
+        tasks=_whole(row, "count", 1),
+        need=Room(_whole(row, "cpu"), _whole(row, "mem_mb"), _whole(row, "gpu")),
+        estimate_ms=_whole(row, "estimate_ms"),
+        after=tuple(after),
+        requires=_text(row, "requires"),
+        prefers=_text(row, "affinity"),
+        max_per_endpoint=_whole(row, "anti_affinity"),
+    )
+
+
+def _whole(row: dict[str, Any], name: str, least: int = 0) -> int:
+    value = row.get(name, least)
+    if type(value) not in (int, float) or not least <= value < 1e12 or value != int(value):
+        raise GentianmuxError(ResultCode.BAD_FIELD, f"{name} is no whole number from {least} on")
+    return int(value)
+
+
+def _text(row: dict[str, Any], name: str) -> str:
+    value = row.get(name, "")
+    if not isinstance(value, str):
+        raise GentianmuxError(ResultCode.BAD_FIELD, f"{name} is no text")
+    return value
+
+
+def _refusal(exc: GentianmuxError) -> Response:
+    content = {"error": exc.detail, "code": int(exc.code), "name": exc.code.label}
+    retry_after_s = -(-exc.retry_after_ms // 1000)
+    return Response(exc.code.info.http_status, content, retry_after_s)
--- /dev/null
+++ b/src/gentianmux/platform/config.py
@@ -0,0 +1,59 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+import json
+from typing import Any
+
+from ..codes import ResultCode
+from ..errors import GentianmuxError
+from ..leased.config_feed import ConfigSource
+from ..leased.model import JobConfig, QueueRules, RequestLimits
+
+
+def decode_config(raw: bytes) -> JobConfig:
+    """Decode a configuration.
+
+    Raises
+    ------
+    GentianmuxError
+        ``CHANGE_INVALID`` when it cannot be read; the present one then stays in force.
+    """
+    try:
+        content = json.loads(raw)
+        return JobConfig(
+            version=int(content["version"]),
+            # What the platform calls a route is a queue of jobs.
+            queues=tuple(_queue(route) for route in content["routes"]),
+            limits=_limits(content.get("limits", {})),
+            raw=raw,
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise GentianmuxError(ResultCode.CHANGE_INVALID, repr(exc)) from exc
+
+
+def _queue(route: dict[str, Any]) -> QueueRules:
+    return QueueRules(
+        name=str(route["name"]),
+        host=str(route["host"]).lower(),
+        prefix=str(route["path_prefix"]),
+        service=str(route["service"]),
+        timeout_ms=int(route.get("timeout_ms", 0)),
+        # Not a latency to reach by itself: it is added to the stretched work.
+        target_ms=int(route.get("target_latency_ms", 0)),
+        priority=int(route.get("priority", 0)),
+        max_attempts=int(route.get("max_attempts", 1)),
+        stretch=float(route.get("stretch", 1.0)),
+    )
+
+
+def _limits(limits: dict[str, Any]) -> RequestLimits:
+    usual = RequestLimits()
+    return RequestLimits(
+        max_header_bytes=int(limits.get("max_header_bytes", usual.max_header_bytes)),
+        max_body_bytes=int(limits.get("max_body_bytes", usual.max_body_bytes)),
+        header_timeout_s=float(limits.get("header_timeout_ms", 3000)) / 1000,
+        idle_timeout_s=float(limits.get("idle_timeout_ms", 15000)) / 1000,
+    )
+
+
+CONFIG_SOURCE = ConfigSource("keyed.op", "config", decode_config)
+"""Where the platform keeps the configuration: a key of the operators' topic."""
--- /dev/null
+++ b/src/gentianmux/platform/endpoint.py
@@ -0,0 +1,184 @@
+"""The endpoint beside an agent, as the platform's page says it is spoken to."""
+
+import json
+from time import monotonic
+from typing import Any
+
+from loguru import logger
+
+from ..leased.chain import CLOCK_DRIFT
+from ..leased.model import (
+    ActiveRun,
+    EndedRow,
+    EndpointGone,
+    EndpointReport,
+    HoldReply,
+    How,
+    NoAnswer,
+    StartVerdict,
+)
+from ..leased.room import Room
+from .http_call import HttpCaller, HttpReply
+
+START_S = 0.15
+"""Seconds for the answer to a start or stop; it takes some 2 ms, and 15 on a slowed machine."""
+
+LOOK_MARGIN_S = 0.3
+"""Seconds beyond its wait that a look may take before the endpoint counts as silent."""
+
+CONNECTIONS = 24
+"""Calls to the endpoint at once: a look, and starts and stops of a burst."""
+
+REPLACED = 421
+"""Status by which another life of the endpoint answers."""
+
+_HOW = {
+    "done": How.DONE,
+    "failed": How.FAILED,
+    "stopped": How.STOPPED,
+    "lapsed": How.LOST,
+    "broken": How.STOPPED,
+    "alone": How.STOPPED,
+}
+
+_REFUSED = {
+    "old": StartVerdict.OLD_RUN,
+    "room": StartVerdict.NO_ROOM,
+}
+
+
+def read_report(endpoint: str, content: dict[str, Any], address: str) -> EndpointReport:
+    """Decode a heartbeat; raises ``KeyError``, ``TypeError`` or ``ValueError`` when it is none."""
+    room = content["capacity"]
+    return EndpointReport(
+        endpoint=endpoint,
+        address=str(content.get("address") or address),
+        service=str(content["service"]),
+        # ``zone`` is what this project calls a failure domain.
+        failure_domain=str(content["zone"]),
+        capacity=Room(int(room["cpu"]), int(room["mem_mb"]), int(room.get("gpu", 0))),
+        labels=tuple(str(label) for label in content.get("labels", [])),
+        draining=content["state"] == "draining",
+        drain_remaining_s=float(content.get("drain_remaining_ms", 0)) / 1000,
+        sequence=int(content["seq"]),
+    )
+
+
+class PlatformEndpoint:
+    """Starts, stops and looks at runs; keeps the endpoint's clock and the agent's fence.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the endpoint on this machine.
+    stop_s : float
+        Longest time that a stop takes there, in seconds.
+    """
+
+    def __init__(self, address: str, stop_s: float) -> None:
+        self._http = HttpCaller(address, CONNECTIONS)
+        self._stop_s = stop_s
+        self._headers: dict[str, str] = {}
+        self._fence = 0
+        self._clock_ms = 0.0
+        self._clock_at = 0.0
+        self._lease_end = 0.0
+
+    def attach(self, report: EndpointReport) -> None:
+        """Turn to another life of the endpoint; the first look fixes a new fence."""
+        self._headers = {"Gentianmux-Expect-Instance": report.endpoint}
+        self._fence = 0
+        self._clock_ms = 0.0
+        self._lease_end = 0.0
+
+    def lease_end(self) -> float:
+        """When every lease ever asked for has run out, on the monotonic clock."""
+        return self._lease_end
+
+    def start(self, task: str, run: int, payload: str, lease_s: float) -> StartVerdict:
+        """Start a run under a lease."""
+        content = {"task": task, "run": run, "spec": payload, "until_ms": self._until(lease_s)}
+        try:
+            reply = self._call("/v1/run-start", content, START_S)
+            if reply.status == 200:
+                return StartVerdict.STARTED
+            if reply.status == REPLACED:
+                return StartVerdict.REPLACED
+            if reply.status in (429, 503):
+                return StartVerdict.UNHEALTHY
+            if reply.status == 400:
+                return StartVerdict.REFUSED
+            if reply.status == 409:
+                reason = str(reply.json().get("reason"))
+                return _REFUSED.get(reason, StartVerdict.REFUSED)
+        except NoAnswer as exc:
+            logger.bind(task=task, run=run, reason=str(exc)).debug("no answer to a start")
+            return StartVerdict.NO_ANSWER
+        logger.bind(task=task, run=run, status=reply.status).warning("foreign answer to a start")
+        return StartVerdict.NO_ANSWER
+
+    def stop(self, task: str, run: int) -> bool:
+        """Stop a run, present or still on its way; whether the endpoint confirmed it."""
+        try:
+            reply = self._call("/v1/run-stop", {"task": task, "run": run}, START_S)
+        except NoAnswer:
+            return False
+        return reply.status in (200, REPLACED)
+
+    def hold(self, acknowledged: int, wait_s: float, lease_s: float) -> HoldReply:
+        """Renew the lease of all runs (0: only look) and wait for an end."""
+        if not self._fence:
+            self._raise_fence()
+        asked_at = monotonic()
+        content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
+        if lease_s:
+            content["until_ms"] = self._until(lease_s)
+        reply = self._call("/v1/hold", content, wait_s + LOOK_MARGIN_S)
+        if reply.status == REPLACED:
+            raise EndpointGone
+        if reply.status == 409:
+            self._fence = 0
+            raise NoAnswer("the endpoint has seen a higher fence")
+        if reply.status != 200:
+            raise NoAnswer(f"status {reply.status} to a look")
+        return _read_look(reply.json(), asked_at)
+
+    def _raise_fence(self) -> None:
+        """Learn the endpoint's clock, and make it the fence.
+
+        It rises through one life of the endpoint, so orders of earlier agents, even those
+        carried out late, are refused from the next call on.
+        """
+        reply = self._call("/v1/hold", {"acknowledged": 0, "wait_ms": 0}, START_S)
+        if reply.status == REPLACED:
+            raise EndpointGone
+        if not self._clock_ms:
+            raise NoAnswer(f"status {reply.status} without a clock")
+        self._fence = int(self._clock_ms)
+
+    def _until(self, lease_s: float) -> int:
+        now = monotonic()
+        self._lease_end = max(self._lease_end, now + lease_s * CLOCK_DRIFT + self._stop_s)
+        return int(self._clock_ms + (now - self._clock_at) * 1000 + lease_s * 1000)
+
+    def _call(self, path: str, content: dict[str, Any], timeout_s: float) -> HttpReply:
+        body = json.dumps({**content, "fence": self._fence}).encode()
+        reply = self._http.call("POST", path, body, timeout_s, self._headers)
+        if reply.body and reply.status != REPLACED:
+            clock_ms = reply.json().get("clock_ms")
+            if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
+                self._clock_ms, self._clock_at = float(clock_ms), monotonic()
+        return reply
+
+
+def _read_look(content: dict[str, Any], asked_at: float) -> HoldReply:
+    try:
+        # A row's third field is its checkpoint; no job served here asks for any.
+        active = tuple(ActiveRun(str(r[0]), int(r[1]), float(r[3])) for r in content["active"])
+        ended = tuple(
+            EndedRow(int(r[0]), str(r[1]), int(r[2]), _HOW.get(r[3], How.STOPPED))
+            for r in content["ended_runs"]
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as exc:
+        raise NoAnswer(f"a look that cannot be read: {exc!r}") from exc
+    return HoldReply(asked_at, active, ended)
--- /dev/null
+++ b/src/gentianmux/platform/heartbeats.py
@@ -0,0 +1,55 @@
+"""Where the endpoint beside an agent reports itself."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from loguru import logger
+
+from ..codes import ResultCode
+from ..errors import GentianmuxError
+from ..http_server import read_body
+from ..leased.agent import Agent
+from ..settings import Settings
+from .endpoint import read_report
+
+_PATH = re.compile(r"/v1/instances/([^/]{1,100})/(heartbeat|deregister)\Z")
+
+
+class HeartbeatApp:
+    """The WSGI application at an agent's address for its endpoint."""
+
+    def __init__(self, agent: Agent, cfg: Settings, endpoint_address: str) -> None:
+        self._agent = agent
+        self._cfg = cfg
+        self._endpoint_address = endpoint_address
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Take one heartbeat or farewell."""
+        found = _PATH.match(environ.get("PATH_INFO", ""))
+        status = "404 Not Found"
+        if found and environ["REQUEST_METHOD"] == "POST":
+            status = self._take(environ, *found.groups())
+        body = b"{}"
+        start_response(
+            status,
+            [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+        )
+        return [body]
+
+    def _take(self, environ: dict[str, Any], endpoint: str, call: str) -> str:
+        try:
+            body = read_body(environ, self._cfg)
+            if call == "deregister":
+                self._agent.on_left(endpoint)
+                return "200 OK"
+            report = read_report(endpoint, json.loads(body), self._endpoint_address)
+        except (GentianmuxError, ValueError, KeyError, TypeError, AttributeError) as exc:
+            code = int(ResultCode.BAD_FIELD)
+            logger.bind(code=code, reason=repr(exc)).warning("heartbeat unreadable")
+            return "400 Bad Request"
+        self._agent.on_report(report)
+        return "200 OK"
--- /dev/null
+++ b/src/gentianmux/platform/settings.py
@@ -0,0 +1,64 @@
+"""The platform's settings file, decoded into the product's settings."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from ..codes import ResultCode
+from ..errors import GentianmuxError
+from ..leased.settings import LeasedSettings
+
+PATH_VARIABLE = "GENTIANMUX_CONFIG"
+"""Environment variable that holds the path of the settings file."""
+
+METRICS_PORT = 9464
+"""Port of the metrics, as the deploy file names it."""
+
+
+def read_settings_file(role: str) -> LeasedSettings:
+    """Read the file that the environment names.
+
+    Raises
+    ------
+    GentianmuxError
+        ``BAD_SETTING`` when it is missing or cannot be used.
+    """
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        return decode_settings(role, tomllib.loads(Path(path).read_text()))
+    except (OSError, ValueError) as exc:
+        raise GentianmuxError(ResultCode.BAD_SETTING, f"{path or PATH_VARIABLE}: {exc}") from exc
+    except (KeyError, TypeError, IndexError) as exc:
+        raise GentianmuxError(ResultCode.BAD_SETTING, f"{path}: {exc!r}") from exc
+
+
+def decode_settings(role: str, file: dict[str, Any]) -> LeasedSettings:
+    """Decode the content of a settings file."""
+    ip = str(file["ip"])
+    listen = file["listen"]
+    bounds = file.get("bounds", {})
+    store = file["platform"]
+    peer_port = file["port_range"][0]
+    # ``seeds`` are addresses for heartbeats; other processes listen at the same IP numbers.
+    seeds = tuple(f"{seed.partition(':')[0]}:{peer_port}" for seed in file.get("seeds", []))
+    usual = LeasedSettings._field_defaults
+    return LeasedSettings(
+        role=role,
+        name=str(file["node"]),
+        # ``zone`` is what this project calls a failure domain.
+        failure_domain=str(file["zone"]),
+        peer_address=f"{ip}:{peer_port}",
+        http_address=str(listen["front"] if role == "entry" else listen["control"]),
+        readiness_address=str(listen.get("readiness", "")),
+        metrics_address=f"{ip}:{METRICS_PORT}",
+        seeds=tuple(seed for seed in seeds if seed != f"{ip}:{peer_port}"),
+        endpoint_address=str(file.get("app", "")),
+        service=str(file.get("service", "")),
+        store_address=str(store["address"]),
+        store_retention_s=float(store.get("keep_s", usual["store_retention_s"])),
+        longest_lease_s=float(bounds.get("hold_max_ms", 1000)) / 1000,
+        stop_s=float(bounds.get("stop_ms", 50)) / 1000,
+        grace_s=float(bounds.get("grace_s", usual["grace_s"])),
+        resend_s=float(bounds.get("resend_ms", 1300)) / 1000,
+    )
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -239,6 +239,83 @@
   records @3 :List(LogRecord);
 }
 
+struct LeasedTask {
+  name @0 :Text;
+  run @1 :Int64;
+  payload @2 :Data;
+  cpu @3 :Int64;
+  memMb @4 :Int64;
+  gpu @5 :Int64;
+  estimateMs @6 :Int64;
+}
+
+struct Assign {
+  echo @0 :Int64;
+  number @1 :Int64;
+  tasks @2 :List(LeasedTask);
+}
+
+struct RunRef {
+  task @0 :Text;
+  run @1 :Int64;
+}
+
+struct Withdraw {
+  runs @0 :List(RunRef);
+}
+
+struct EndedRun {
+  number @0 :Int64;
+  task @1 :Text;
+  run @2 :Int64;
+  how @3 :UInt16;
+  ranMs @4 :Int64;
+}
+
+struct EndedRuns {
+  runs @0 :List(EndedRun);
+}
+
+struct SeenRuns {
+  upTo @0 :Int64;
+}
+
+struct Holding {
+  applied @0 :Int64;
+  runs @1 :List(RunRef);
+}
+
+struct AgentLoad {
+  number @0 :Int64;
+  applied @1 :Int64;
+  cpu @2 :Int64;
+  memMb @3 :Int64;
+  gpu @4 :Int64;
+  slownessPercent @5 :Int64;
+  configVersion @6 :Int64;
+}
+
+struct LoadEcho {
+  number @0 :Int64;
+  configVersion @1 :Int64;
+}
+
+struct EndpointState {
+  endpoint @0 :Text;
+  service @1 :Text;
+  failureDomain @2 :Text;
+  cpu @3 :Int64;
+  memMb @4 :Int64;
+  gpu @5 :Int64;
+  labels @6 :List(Text);
+  accepting @7 :Bool;
+}
+
+struct SharedConfig {
+  version @0 :Int64;
+  body @1 :Data;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -266,5 +343,14 @@
     offer @22 :Offer;
     decline @23 :Decline;
     explain @24 :Explain;
+    assign @25 :Assign;
+    withdraw @26 :Withdraw;
+    endedRuns @27 :EndedRuns;
+    seenRuns @28 :SeenRuns;
+    holding @29 :Holding;
+    agentLoad @30 :AgentLoad;
+    loadEcho @31 :LoadEcho;
+    endpointState @32 :EndpointState;
+    sharedConfig @33 :SharedConfig;
   }
 }
