Leased jobs on virtual time: promises under loss, and one step of each loop a method

Change: bench/leased_world.py runs real entries and agents over fakes of clock, network and endpoints; tests/test_leased_world.py kills, freezes, cuts and resets, loses and delays orders.

--- /dev/null
+++ b/bench/leased_world.py
@@ -0,0 +1,664 @@
+"""Leased jobs on virtual time: real entries and agents, fakes of clock, network and endpoints."""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from gentianmux.clock import Clock
+from gentianmux.leased.agent import LOOK_S, REPORT_S, Agent
+from gentianmux.leased.chain import ECHO_S
+from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
+from gentianmux.leased.entry import STEP_S, Entry, Ticket
+from gentianmux.leased.fleet_view import FleetView
+from gentianmux.leased.links import SILENT_S, node_of
+from gentianmux.leased.model import (
+    ActiveRun,
+    EndedRow,
+    EndpointGone,
+    EndpointReport,
+    HoldReply,
+    How,
+    JobConfig,
+    JobSpec,
+    NoAnswer,
+    QueueRules,
+    RequestLimits,
+    StartVerdict,
+    StepSpec,
+)
+from gentianmux.leased.room import NO_ROOM, Room
+from gentianmux.leased.settings import LeasedSettings, lease_s
+from gentianmux.memory_log import MemoryKeyedLog
+from gentianmux.messages import PROTOCOL_VERSION, Hello, Message
+from gentianmux.metrics import Metrics
+from gentianmux.settings import Settings
+
+ONE_WAY_S = 0.0005
+"""Seconds from one process to another, the deployments' delay between failure domains."""
+
+CALL_S = 0.001
+"""Seconds for a call of the endpoint on the same machine."""
+
+STOP_S = 0.05
+"""Seconds that a stop takes at an endpoint."""
+
+LONGEST_LEASE_S = 1.0
+SLOW_CLOCK = 0.98
+"""An endpoint's clock may run 2 % slow, which makes its leases last longer."""
+
+QUEUE = QueueRules("q", "h.example", "/q/", "s", 5000, 60, 0, 3, 1.6)
+ENDPOINT_ROOM = Room(16000, 65536, 0)
+
+
+class Work(NamedTuple):
+    """What a task really does: its run time at normal speed, and how many runs of it fail."""
+
+    run_s: float
+    failures: int = 0
+
+
+@dataclass
+class FakeRun:
+    """A run at a fake endpoint."""
+
+    need: Room
+    work: Work
+    done_s: float = 0.0
+    moved_at: float = 0.0
+    stop_at: float | None = None
+
+
+class Breach(NamedTuple):
+    """A promise that was broken, when, and by what."""
+
+    rule: str
+    at: float
+    task: str
+
+
+class FakeEndpoint:
+    """One life of an endpoint: starts whatever it is told to, under leases, and keeps count.
+
+    Attributes
+    ----------
+    speed : float
+        Work done in a second; 0 makes everything stand still.
+    failing, silent, unhealthy : bool
+        Whether runs fail at once, calls get no answer, starts are refused.
+    lose_answers : int
+        Starts that get no answer although they are carried out.
+    late_orders : int
+        Starts that get no answer and are carried out ``late_by`` seconds later.
+    """
+
+    def __init__(self, world: "World", name: str, capacity: Room) -> None:
+        self.world = world
+        self.name = name
+        self.capacity = capacity
+        self.speed = 1.0
+        self.failing = False
+        self.silent = False
+        self.unhealthy = False
+        self.lose_answers = 0
+        self.late_orders = 0
+        self.late_by = 3.0
+        self.up = True
+        self.active: dict[tuple[str, int], FakeRun] = {}
+        self.ends: list[EndedRow] = []
+        self.stopped_runs: dict[str, int] = defaultdict(int)
+        self.fence = 0
+        self.lease_until = 0.0
+        self._number = 0
+
+    def used(self) -> Room:
+        """What its runs take, those being stopped included."""
+        total = NO_ROOM
+        for run in self.active.values():
+            total = total.plus(run.need)
+        return total
+
+    def advance(self) -> None:
+        """Bring runs up to the present, and end what is over."""
+        now = self.world.time
+        for key, run in list(self.active.items()):
+            end = min(now, self.lease_until)
+            run.done_s += max(0.0, end - run.moved_at) * self.speed
+            run.moved_at = max(run.moved_at, end)
+            if run.stop_at is not None and now >= run.stop_at:
+                self._end(key, How.STOPPED)
+            elif now > self.lease_until:
+                self._end(key, How.LOST)
+            elif self.failing:
+                self._end(key, How.FAILED)
+            elif run.done_s >= run.work.run_s:
+                failed = self.world.failed[key[0]] < run.work.failures
+                self.world.failed[key[0]] += failed
+                self._end(key, How.FAILED if failed else How.DONE)
+
+    def _end(self, key: tuple[str, int], how: How) -> None:
+        del self.active[key]
+        self._number += 1
+        self.stopped_runs[key[0]] = max(self.stopped_runs[key[0]], key[1])
+        self.ends.append(EndedRow(self._number, *key, how))
+        if how is not How.DONE:
+            self.world.wasted_runs += 1
+
+    def begin(self, task: str, run: int, fence: int, until: float) -> StartVerdict:
+        """Carry out a start."""
+        self.advance()
+        now = self.world.time
+        if fence < self.fence or until < now:
+            return StartVerdict.REFUSED
+        self.fence = fence
+        if (task, run) in self.active:
+            return StartVerdict.STARTED
+        if run <= self.stopped_runs[task]:
+            return StartVerdict.OLD_RUN
+        if self.unhealthy:
+            return StartVerdict.UNHEALTHY
+        step, work = self.world.works[task]
+        self.world.note_start(self, task)
+        self.lease_until = max(self.lease_until, min(until, now + LONGEST_LEASE_S))
+        self.active[task, run] = FakeRun(step.need, work, moved_at=now)
+        self.world.starts += 1
+        if not self.capacity.fits(self.used()):
+            self.world.breaches.append(Breach("LIMIT", now, task))
+        if self.failing:
+            self.world.at(0.01, "", self.advance)
+        elif self.speed:
+            self.world.at(work.run_s / self.speed + 0.0001, "", self.advance)
+        return StartVerdict.STARTED
+
+
+class FakeDriver:
+    """An agent's way to the endpoint on its machine."""
+
+    def __init__(self, world: "World", machine: "Machine") -> None:
+        self._world = world
+        self._machine = machine
+        self._endpoint: FakeEndpoint | None = None
+        self._fence = 0
+        self._lease_end = 0.0
+
+    def attach(self, report: EndpointReport) -> None:
+        now_there = self._machine.endpoint
+        self._endpoint = now_there if now_there.name == report.endpoint else None
+        self._fence = 0
+
+    def lease_end(self) -> float:
+        return self._lease_end
+
+    def _until(self, lease: float) -> float:
+        now = self._world.time
+        self._lease_end = max(self._lease_end, now + lease * 1.02 + STOP_S)
+        return now + lease / SLOW_CLOCK if lease else 0.0
+
+    def _there(self) -> FakeEndpoint:
+        endpoint = self._machine.endpoint
+        if self._endpoint is not endpoint and endpoint.up:
+            raise EndpointGone
+        if endpoint.silent or not endpoint.up:
+            raise NoAnswer("silent")
+        return endpoint
+
+    def start(self, task: str, run: int, payload: str, lease: float) -> StartVerdict:
+        until = self._until(lease)
+        try:
+            endpoint = self._there()
+        except EndpointGone:
+            return StartVerdict.REPLACED
+        except NoAnswer:
+            return StartVerdict.NO_ANSWER
+        if endpoint.late_orders:
+            endpoint.late_orders -= 1
+            later = until + endpoint.late_by
+            self._world.at(endpoint.late_by, "", endpoint.begin, task, run, self._fence, later)
+            return StartVerdict.NO_ANSWER
+        verdict = endpoint.begin(task, run, self._fence, until)
+        if endpoint.lose_answers:
+            endpoint.lose_answers -= 1
+            return StartVerdict.NO_ANSWER
+        return verdict
+
+    def stop(self, task: str, run: int) -> bool:
+        try:
+            endpoint = self._there()
+        except EndpointGone:
+            return True
+        except NoAnswer:
+            return False
+        endpoint.advance()
+        known = endpoint.active.get((task, run))
+        if known is None:
+            endpoint.stopped_runs[task] = max(endpoint.stopped_runs[task], run)
+        elif known.stop_at is None:
+            known.stop_at = self._world.time + STOP_S
+            self._world.at(STOP_S + 0.0001, "", endpoint.advance)
+        return True
+
+    def hold(self, acknowledged: int, wait: float, lease: float) -> HoldReply:
+        until = self._until(lease) if lease else 0.0
+        endpoint = self._there()
+        endpoint.advance()
+        if not self._fence:
+            endpoint.fence = max(endpoint.fence + 1, int(self._world.time * 1000))
+            self._fence = endpoint.fence
+        if self._fence < endpoint.fence:
+            raise NoAnswer("fenced")
+        if lease:
+            limit = self._world.time + LONGEST_LEASE_S / SLOW_CLOCK
+            endpoint.lease_until = max(endpoint.lease_until, min(until, limit))
+        endpoint.ends = [row for row in endpoint.ends if row.number > acknowledged]
+        active = tuple(
+            ActiveRun(task, run, min(99.0, 100 * r.done_s / r.work.run_s))
+            for (task, run), r in endpoint.active.items()
+        )
+        return HoldReply(self._world.time, active, tuple(endpoint.ends))
+
+
+class FakeClock(Clock):
+    """Virtual time for one process; its calls wait while it is frozen and go with its life."""
+
+    def __init__(self, world: "World", process: str) -> None:
+        self._world = world
+        self._process = process
+
+    def now(self) -> float:
+        return self._world.time
+
+    def now_ms(self) -> int:
+        return int(self._world.time * 1000)
+
+    def later(self, delay_s: float, call: Callable[..., Any], *args: Any) -> None:
+        self._world.at(delay_s, self._process, call, *args)
+
+    def soon(self, call: Callable[..., Any], *args: Any) -> None:
+        self.later(CALL_S, call, *args)
+
+
+class FakeLinks:
+    """Connections of one process; frames arrive in order, unless the pair is cut or reset."""
+
+    def __init__(self, world: "World", me: Hello) -> None:
+        self.on_open: Callable[[Hello], None] = lambda hello: None
+        self.on_close: Callable[[str], None] = lambda process: None
+        self.on_message: Callable[[Message, str], None] = lambda msg, process: None
+        self.me = me
+        self.open: dict[str, int] = {}
+        self.heard: dict[str, float] = {}
+        self._world = world
+
+    def processes(self) -> list[str]:
+        return sorted(self.open)
+
+    def send(self, process: str, msg: Message) -> bool:
+        if process not in self.open:
+            return False
+        self._world.frames += 1
+        self._world.carry(self.me.process, process, self.open[process], msg)
+        return True
+
+    def take(self, sender: str, link: int, msg: Message) -> None:
+        """Hand on a frame that came by the present connection."""
+        if self.open.get(sender) == link:
+            self.heard[sender] = self._world.time
+            self.on_message(msg, sender)
+
+    def close_silent(self) -> None:
+        for process in list(self.open):
+            if self._world.time - self.heard[process] > SILENT_S:
+                self.close(process)
+
+    def close(self, process: str) -> None:
+        if self.open.pop(process, None) is not None:
+            self.on_close(process)
+
+
+@dataclass
+class Machine:
+    """An agent's machine: its present process and the endpoint beside it."""
+
+    name: str
+    endpoint: FakeEndpoint
+    domain: str
+    lives: int = 0
+    agent: Agent | None = None
+    links: FakeLinks | None = None
+    sequence: int = 0
+
+
+@dataclass
+class EntryNode:
+    """An entry's instance and its present process."""
+
+    name: str
+    domain: str
+    lives: int = 0
+    entry: Entry | None = None
+    links: FakeLinks | None = None
+    view: FleetView | None = None
+
+
+@dataclass
+class Asked:
+    """A job that was handed in, for the checks at the end."""
+
+    spec: JobSpec
+    queue: QueueRules
+    at: float
+    ideal_s: float
+    ticket: Ticket
+    ended_at: float = field(default=0.0)
+
+
+class World:
+    """Entries and agents on virtual time.
+
+    Parameters
+    ----------
+    agents, entries : int
+        How many of each.
+    seed : int
+        Of everything that is random.
+
+    Examples
+    --------
+    >>> world = World(agents=2, entries=1)
+    >>> world.run(1.0)
+    >>> job = world.submit("e0", tasks=4, run_s=0.1)
+    >>> world.run(1.0)
+    >>> job.ticket.verdict.outcome.value
+    'completed'
+    """
+
+    def __init__(
+        self, agents: int = 3, entries: int = 1, seed: int = 1, capacity: Room = ENDPOINT_ROOM
+    ) -> None:
+        self.time = 100.0
+        self.rng = Random(seed)
+        self.works: dict[str, tuple[StepSpec, Work]] = {}
+        self.failed: dict[str, int] = defaultdict(int)
+        self.breaches: list[Breach] = []
+        self.asked: list[Asked] = []
+        self.started: set[str] = set()
+        self.starts = 0
+        self.wasted_runs = 0
+        self.frames = 0
+        self.frozen: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self._alive: set[str] = set()
+        self._due: list[tuple[float, int, str, Callable[..., Any], tuple[Any, ...]]] = []
+        self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = defaultdict(list)
+        self._count = 0
+        self._jobs = 0
+        self.store = MemoryKeyedLog()
+        self.config = JobConfig(1, (QUEUE,), RequestLimits(), b"1")
+        self.machines: dict[str, Machine] = {}
+        self.entries: dict[str, EntryNode] = {}
+        for number in range(agents):
+            name = f"w{number}"
+            endpoint = FakeEndpoint(self, f"{name}-x0", capacity)
+            self.machines[name] = Machine(name, endpoint, f"fd{number % 3}")
+            self.start_agent(name)
+        for number in range(entries):
+            self.entries[f"e{number}"] = EntryNode(f"e{number}", f"fd{number % 3}")
+            self.start_entry(f"e{number}")
+        self.at(0.0, "", self._connect)
+        self.at(0.0, "", self._heartbeats)
+
+    # Time
+
+    def at(self, delay_s: float, process: str, call: Callable[..., Any], *args: Any) -> None:
+        """Call after a delay, for a process or (empty) for the world."""
+        self._count += 1
+        heapq.heappush(self._due, (self.time + delay_s, self._count, process, call, args))
+
+    def every(self, period_s: float, process: str, call: Callable[[], Any]) -> None:
+        """Call again and again for as long as a process lives."""
+
+        def step() -> None:
+            call()
+            self.at(period_s, process, step)
+
+        self.at(period_s, process, step)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.time + seconds
+        while self._due and self._due[0][0] <= end:
+            self.time, _, process, call, args = heapq.heappop(self._due)
+            if process and process not in self._alive:
+                continue
+            if process in self.frozen:
+                self._held[process].append((call, args))
+                continue
+            call(*args)
+        self.time = end
+
+    # Processes
+
+    def start_agent(self, name: str) -> None:
+        """Start an agent's process on its machine."""
+        machine = self.machines[name]
+        machine.lives += 1
+        cfg = LeasedSettings("agent", name, machine.domain, f"{name}:1", "", service="s")
+        me = Hello(PROTOCOL_VERSION, f"{name}.{machine.lives}", "agent", f"{name}:1")
+        clock = FakeClock(self, me.process)
+        links = FakeLinks(self, me)
+        metrics = Metrics(Settings())
+        driver = FakeDriver(self, machine)
+        agent = Agent(cfg, driver, links, self._feed(clock), metrics, clock)  # type: ignore[arg-type]
+        machine.agent, machine.links = agent, links
+        self._alive.add(me.process)
+        self.every(REPORT_S, me.process, agent.send_load)
+        self.every(0.05, me.process, agent.check_chains)
+        self.every(0.1, me.process, agent.repeat_stops)
+        self.every(0.01, me.process, lambda: agent.report is not None and agent.look())
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry's process."""
+        node = self.entries[name]
+        node.lives += 1
+        cfg = LeasedSettings("entry", name, node.domain, f"{name}:1", "")
+        me = Hello(PROTOCOL_VERSION, f"{name}.{node.lives}", "entry", f"{name}:1")
+        clock = FakeClock(self, me.process)
+        links = FakeLinks(self, me)
+        view = FleetView(lease_s(cfg), node.domain, Random(me.process))
+        metrics = Metrics(Settings())
+        feed = self._feed(clock)
+        entry = Entry(cfg, view, links, feed, metrics, clock)  # type: ignore[arg-type]
+        entry.entries = max(1, len(self.entries))
+        node.entry, node.links, node.view = entry, links, view
+        self._alive.add(me.process)
+        self.every(STEP_S, me.process, entry.step)
+        self.every(ECHO_S, me.process, entry.echo)
+
+    def _feed(self, clock: Clock) -> ConfigFeed:
+        source = ConfigSource("config", "config", lambda raw: self.config)
+        feed = ConfigFeed(source, self.store, Metrics(Settings()), clock)
+        feed.current = self.config
+        return feed
+
+    def kill(self, process: str) -> None:
+        """End a process at once."""
+        self._alive.discard(process)
+        for links in self._links():
+            if links.me.process == process:
+                for peer in list(links.open):
+                    self._reset(process, peer)
+
+    def freeze(self, process: str, seconds: float) -> None:
+        """Let a process stand still for a while; what reaches it waits."""
+        self.frozen.add(process)
+        self.at(seconds, "", self._thaw, process)
+
+    def _thaw(self, process: str) -> None:
+        self.frozen.discard(process)
+        held, self._held[process] = self._held[process], []
+        for call, args in held:
+            self.at(0.0, process, call, *args)
+
+    def replace_endpoint(self, name: str, capacity: Room | None = None) -> FakeEndpoint:
+        """End an endpoint's life and begin another at the same address."""
+        machine = self.machines[name]
+        old = machine.endpoint
+        old.up = False
+        old.active.clear()
+        number = int(old.name.rpartition("x")[2]) + 1
+        machine.endpoint = FakeEndpoint(self, f"{name}-x{number}", capacity or old.capacity)
+        return machine.endpoint
+
+    def process_of(self, name: str) -> str:
+        """Present process of an instance."""
+        lives = (self.machines.get(name) or self.entries[name]).lives
+        return f"{name}.{lives}"
+
+    # Network
+
+    def _links(self) -> Iterator[FakeLinks]:
+        for node in (*self.machines.values(), *self.entries.values()):
+            if node.links is not None:
+                yield node.links
+
+    def _connect(self) -> None:
+        """Open what connections can be opened, as agents do every 0.1 s."""
+        self.at(0.1, "", self._connect)
+        for machine in self.machines.values():
+            for node in self.entries.values():
+                if machine.links is not None and node.links is not None:
+                    self._open(machine.links, node.links)
+
+    def _open(self, agent: FakeLinks, entry: FakeLinks) -> None:
+        pair = (agent.me.process, entry.me.process)
+        reachable = self._alive.issuperset(pair) and not self.frozen.intersection(pair)
+        if not reachable or self.is_cut(*pair):
+            return
+        if agent.open.get(pair[1]) is not None and entry.open.get(pair[0]) is not None:
+            return
+        self._count += 1
+        for mine, other in ((agent, entry), (entry, agent)):
+            for process in list(mine.open):
+                if node_of(process) == node_of(other.me.process):
+                    del mine.open[process]
+            mine.open[other.me.process] = self._count
+            mine.heard[other.me.process] = self.time
+        agent.on_open(entry.me)
+        entry.on_open(agent.me)
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Whether nothing passes between two processes."""
+        return frozenset((node_of(one), node_of(other))) in self.cut
+
+    def cut_apart(self, one: str, other: str, seconds: float) -> None:
+        """Cut two instances apart silently for a while."""
+        pair = frozenset((one, other))
+        self.cut.add(pair)
+        self.at(seconds, "", self.cut.discard, pair)
+
+    def _reset(self, one: str, other: str) -> None:
+        for links in self._links():
+            if links.me.process == one and links.open.pop(other, None) is not None:
+                links.on_close(other)
+            elif links.me.process == other and links.open.pop(one, None) is not None:
+                links.on_close(one)
+
+    def reset(self, one: str, other: str) -> None:
+        """Reset the connection of two instances; frames on their way are lost."""
+        self._reset(self.process_of(one), self.process_of(other))
+
+    def carry(self, sender: str, receiver: str, link: int, msg: Message) -> None:
+        """Take a frame to a process; one that is cut off by then is kept and sent again."""
+        if self.is_cut(sender, receiver):
+            self.at(0.2, "", self.carry, sender, receiver, link, msg)
+            return
+        for links in self._links():
+            if links.me.process == receiver:
+                self.at(ONE_WAY_S, receiver, links.take, sender, link, msg)
+
+    def _heartbeats(self) -> None:
+        self.at(0.5, "", self._heartbeats)
+        for machine in self.machines.values():
+            agent_lives = self.process_of(machine.name) in self._alive
+            endpoint = machine.endpoint
+            frozen = self.process_of(machine.name) in self.frozen
+            if machine.agent is None or not agent_lives or not endpoint.up or frozen:
+                continue
+            machine.sequence += 1
+            machine.agent.on_report(self.report_of(machine))
+
+    def report_of(self, machine: Machine, draining: bool = False) -> EndpointReport:
+        """The heartbeat that a machine's endpoint sends."""
+        endpoint = machine.endpoint
+        return EndpointReport(
+            endpoint.name,
+            "",
+            "s",
+            machine.domain,
+            endpoint.capacity,
+            ("a",),
+            draining,
+            2.0 if draining else 0.0,
+            machine.sequence,
+        )
+
+    # Jobs
+
+    def submit(
+        self,
+        entry: str,
+        tasks: int = 1,
+        run_s: float = 0.1,
+        cpu: int = 1600,
+        estimate_ms: int | None = None,
+        failures: int = 0,
+        job_id: str = "",
+        queue: QueueRules = QUEUE,
+        time_limit_s: float = 5.0,
+    ) -> Asked:
+        """Hand in a job of one step."""
+        self._jobs += 1
+        name = job_id or f"{self._jobs:016x}"
+        guess_ms = int(run_s * 1000) if estimate_ms is None else estimate_ms
+        step = StepSpec(tasks, Room(cpu, 64, 0), guess_ms)
+        spec = JobSpec(name, "x", (step,))
+        for index in range(tasks):
+            self.works[f"{name}.0.0.{index}"] = (step, Work(run_s, failures))
+        node = self.entries[entry]
+        assert node.entry is not None
+        ticket = node.entry.submit(spec, queue, time_limit_s)
+        asked = Asked(spec, queue, self.time, run_s, ticket)
+        self.asked.append(asked)
+        finish = ticket.done.set
+
+        def ended() -> None:
+            asked.ended_at = self.time
+            finish()
+
+        if ticket.verdict is not None:
+            asked.ended_at = self.time
+        with suppress(AttributeError):
+            ticket.done.set = ended  # type: ignore[method-assign]
+        return asked
+
+    def note_start(self, endpoint: FakeEndpoint, task: str) -> None:
+        """Check a start against every run of its task that is at work elsewhere."""
+        self.started.add(task)
+        for machine in self.machines.values():
+            other = machine.endpoint
+            other.advance()
+            if other.up and any(name == task for name, _ in other.active):
+                self.breaches.append(Breach("TWICE", self.time, task))
+
+    def false_refusals(self) -> list[str]:
+        """Jobs said not to have run of which a task has started."""
+        return [
+            each.spec.job_id
+            for each in self.asked
+            if each.ticket.verdict is not None
+            and each.ticket.verdict.outcome.value == "not_run"
+            and any(task.startswith(each.spec.job_id) for task in self.started)
+        ]
--- a/src/gentianmux/clock.py
+++ b/src/gentianmux/clock.py
@@ -32,3 +32,10 @@
     def soon(self, call: Callable[..., Any], *args: Any) -> None:
         """Call once, outside the present call; it may block."""
         gevent.spawn(call, *args)
+
+
+def repeat(period_s: float, call: Callable[[], None]) -> None:
+    """Call for ever, with a pause in seconds before each call."""
+    while True:
+        gevent.sleep(period_s)
+        call()
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from ..clock import Clock
+from ..clock import Clock, repeat
 from ..messages import (
     AgentLoad,
     Assign,
@@ -40,7 +40,7 @@
 )
 from .progress import SLOW_FACTOR
 from .room import NO_ROOM, Room
-from .run_table import Finished, Phase, RunKey, RunTable
+from .run_table import Finished, Phase, Run, RunKey, RunTable
 from .settings import LeasedSettings, lease_s
 
 REPORT_S = 0.1
@@ -52,6 +52,12 @@
 LOOK_S = 0.1
 """Seconds that a look waits for an end; progress and leases are renewed that often."""
 
+CLEANING_LOOK_S = 0.01
+"""Seconds that a look waits while runs of an earlier agent are being stopped."""
+
+SILENCE_PAUSE_S = 0.02
+"""Seconds between looks at an endpoint that does not answer."""
+
 STOP_AGAIN_S = 0.1
 """Seconds between tries of a stop that the endpoint has not confirmed."""
 
@@ -61,6 +67,12 @@
 REPLACE_S = 0.8
 """Seconds that a run waits for an earlier run of its task to be gone, a lease and a stop."""
 
+REPLACE_CHECK_S = 0.01
+"""Seconds between looks for that; a stop takes up to 50 ms."""
+
+SLOW_MARGIN_MS = 100
+"""Milliseconds allowed on top, since progress is seen in steps of some 100 ms."""
+
 FORGET_ENTRY_S = 10.0
 """Seconds after which an entry that no longer echoes is dropped, with what it has not seen."""
 
@@ -130,6 +142,7 @@
         self._unseen: dict[str, dict[int, EndedRun]] = {}
         self._entry_seen: dict[str, float] = {}
         self._reporting = False
+        self._replacing: set[RunKey] = set()
         links.on_open = self._on_open
         links.on_close = self._on_close
         links.on_message = self.on_message
@@ -201,25 +214,36 @@
 
     def run_loops(self) -> list[gevent.Greenlet]:
         """Spawn the loops of this controller."""
-        loops = [self._look, self._report_load, self._check_chains, self._repeat_stops]
-        return [gevent.spawn(loop) for loop in loops]
-
-    def _look(self) -> None:
+        every = [
+            gevent.spawn(repeat, REPORT_S, self.send_load),
+            gevent.spawn(repeat, CHAIN_CHECK_S, self.check_chains),
+            gevent.spawn(repeat, STOP_AGAIN_S, self.repeat_stops),
+        ]
+        return [gevent.spawn(self._run_looks), *every]
+
+    def _run_looks(self) -> None:
         while True:
             self._attached.wait()
-            clean = self.table.is_clean
-            # Leases of what an earlier agent began are not renewed: it has to end.
-            renew_s = self._lease_s if clean and self.answering else 0.0
-            wait_s = LOOK_S if clean else 0.01
-            try:
-                reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s)
-            except EndpointGone:
-                self._detach("another life of it answers")
-            except NoAnswer as exc:
-                self._on_silence(str(exc))
-                gevent.sleep(0.02)
-            else:
-                self._take_look(reply)
+            if not self.look():
+                gevent.sleep(SILENCE_PAUSE_S)
+
+    def look(self) -> bool:
+        """Look at the endpoint once, renewing its lease; false when it did not answer."""
+        clean = self.table.is_clean
+        # Leases of what an earlier agent began are not renewed: it has to end. Nor are any while
+        # the endpoint is silent, or there would be no moment at which all have surely run out.
+        renew_s = self._lease_s if clean and self.answering else 0.0
+        wait_s = LOOK_S if clean else CLEANING_LOOK_S
+        try:
+            reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s)
+        except EndpointGone:
+            self._detach("another life of it answers")
+        except NoAnswer as exc:
+            self._on_silence(str(exc))
+            return False
+        else:
+            self._take_look(reply)
+        return True
 
     def _on_silence(self, reason: str) -> None:
         self._metrics.count("endpoint_silences")
@@ -253,13 +277,15 @@
         if stalled:
             self._metrics.count("runs_stalled", len(stalled))
             self.health.stalled(len(stalled), now)
-        slow = [run for run in running if self._is_slow(run.progress.heading_for_ms(now), run)]
+        slow = [run for run in running if self._is_slow(run, now)]
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self.health.eject(now)
 
-    def _is_slow(self, heading_ms: float | None, run: object) -> bool:
-        estimate_ms = max(1, getattr(run, "estimate_ms", 1))
-        return heading_ms is not None and heading_ms > SLOW_FACTOR * estimate_ms + 100
+    def _is_slow(self, run: Run, now: float) -> bool:
+        heading_ms = run.progress.heading_for_ms(now)
+        return (
+            heading_ms is not None and heading_ms > SLOW_FACTOR * run.estimate_ms + SLOW_MARGIN_MS
+        )
 
     # Runs
 
@@ -294,7 +320,9 @@
             for run in self.table.runs_of_task(task.name):
                 self._stop(run.key, How.STOPPED, "replaced by a newer run")
             self._stop_unconfirmed()
-            self._clock.soon(self._begin_after, task, entry)
+            until = self._clock.now() + REPLACE_S
+            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, task, entry, until)
+            self._replacing.add(key)
             return None
         now = self._clock.now()
         need = Room(task.cpu, task.mem_mb, task.gpu)
@@ -306,13 +334,15 @@
         self._clock.soon(self._start, task)
         return None
 
-    def _begin_after(self, task: LeasedTask, entry: str) -> None:
+    def _begin_when_gone(self, task: LeasedTask, entry: str, until: float) -> None:
         """Begin a run once every earlier run of its task is gone."""
-        until = self._clock.now() + REPLACE_S
-        while self.table.runs_of_task(task.name) and self._clock.now() < until:
-            gevent.sleep(0.01)
-        fresh = self.chain.holds(entry, self._clock.now())
+        now = self._clock.now()
         gone = not self.table.runs_of_task(task.name)
+        if not gone and now < until:
+            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, task, entry, until)
+            return
+        self._replacing.discard((task.name, task.run))
+        fresh = self.chain.holds(entry, now)
         how = self._begin(task, entry) if gone and fresh else How.NOT_STARTED
         if how is not None:
             self._ended(entry, task.name, task.run, how, 0)
@@ -380,22 +410,20 @@
         if self._driver.stop(*key):
             self.table.stop_confirmed(key, self._clock.now())
 
-    def _repeat_stops(self) -> None:
-        while True:
-            gevent.sleep(STOP_AGAIN_S)
-            if self.report is not None:
-                self._stop_unconfirmed()
-
-    def _check_chains(self) -> None:
-        while True:
-            gevent.sleep(CHAIN_CHECK_S)
-            now = self._clock.now()
-            for run in list(self.table.runs.values()):
-                if not self.chain.holds(run.entry, now):
-                    self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
+    def repeat_stops(self) -> None:
+        """Stop again what the endpoint has not confirmed as stopped."""
+        if self.report is not None:
             self._stop_unconfirmed()
-            self._forget_entries(now)
-            self._links.close_silent()
+
+    def check_chains(self) -> None:
+        """Stop the runs of entries that no longer echo."""
+        now = self._clock.now()
+        for run in list(self.table.runs.values()):
+            if not self.chain.holds(run.entry, now):
+                self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
+        self._stop_unconfirmed()
+        self._forget_entries(now)
+        self._links.close_silent()
 
     # Ends
 
@@ -407,6 +435,7 @@
                 ratio = ran_s * 1000 / max(1, run.estimate_ms) if how is How.DONE else None
                 self.health.ended(_job_of(run.key[0]), how is How.FAILED, ratio, now)
             self._metrics.count("runs_ended", label=how.name.lower())
+            self._metrics.observe("run_seconds", ran_s, label=how.name.lower())
             if how is not How.DONE:
                 logger.bind(task=run.key[0], run=run.key[1], how=how.name.lower()).info("run ended")
             self._ended(run.entry, *run.key, how, int(ran_s * 1000))
@@ -430,6 +459,7 @@
             return
         entry = hello.process
         held = [RunRef(*run.key) for run in self.table.of_entry(entry)]
+        held += [RunRef(*key) for key in sorted(self._replacing)]
         self._links.send(entry, self._state())
         self._links.send(entry, Holding(self._applied.get(entry, 0), held))
         self._flush_ended(entry)
@@ -477,9 +507,10 @@
     def _load_soon(self) -> None:
         if not self._reporting:
             self._reporting = True
-            self._clock.later(GATHER_S, self._send_load)
+            self._clock.later(GATHER_S, self.send_load)
 
-    def _send_load(self) -> None:
+    def send_load(self) -> None:
+        """Report the room on offer to every entry."""
         self._reporting = False
         self._number += 1
         self.chain.sent(self._number, self._clock.now())
@@ -490,18 +521,13 @@
             load = AgentLoad(self._number, applied, *free, slowness, self._feed.version)
             self._links.send(entry, load)
 
-    def _report_load(self) -> None:
-        while True:
-            gevent.sleep(REPORT_S)
-            self._send_load()
-
     # Leaving
 
     def leave(self, until: float) -> None:
         """Start nothing more, let what runs end, and move the rest before ``until``."""
         self.leaving = True
         self._tell_state()
-        self._send_load()
+        self.send_load()
         while self.table.runs and self._clock.now() < until:
             gevent.sleep(0.02)
         for key in list(self.table.runs):
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from ..clock import Clock
+from ..clock import Clock, repeat
 from ..messages import (
     AgentLoad,
     Assign,
@@ -381,21 +381,16 @@
 
     def run_loops(self) -> list[gevent.Greenlet]:
         """Spawn the loops of this controller."""
-        return [gevent.spawn(self._run_steps), gevent.spawn(self._run_echoes)]
-
-    def _run_echoes(self) -> None:
-        while True:
-            gevent.sleep(ECHO_S)
-            now = self._clock.now()
-            for agent in list(self._view.agents.values()):
-                if agent.is_fresh(now):
-                    self._links.send(agent.process, LoadEcho(agent.newest_load, self._feed.version))
-            self._links.close_silent()
-
-    def _run_steps(self) -> None:
-        while True:
-            gevent.sleep(STEP_S)
-            self.step()
+        loops = ((STEP_S, self.step), (ECHO_S, self.echo))
+        return [gevent.spawn(repeat, period_s, call) for period_s, call in loops]
+
+    def echo(self) -> None:
+        """Tell every agent heard of lately which of its reports came last."""
+        now = self._clock.now()
+        for agent in list(self._view.agents.values()):
+            if agent.is_fresh(now):
+                self._links.send(agent.process, LoadEcho(agent.newest_load, self._feed.version))
+        self._links.close_silent()
 
     def step(self) -> None:
         """One round: lost agents, passed deadlines, jobs that cannot be in time, placing."""
--- /dev/null
+++ b/tests/test_leased_world.py
@@ -0,0 +1,287 @@
+"""Leased jobs under failure, on virtual time: what must hold whatever is lost."""
+
+from random import Random
+
+import pytest
+
+from bench.leased_world import ENDPOINT_ROOM, QUEUE, World
+from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.room import Room
+
+
+def ready_world(agents: int = 3, entries: int = 1, seed: int = 1) -> World:
+    world = World(agents, entries, seed)
+    world.run(1.0)
+    return world
+
+
+def outcome(asked: object) -> Outcome | None:
+    verdict = asked.ticket.verdict  # type: ignore[attr-defined]
+    return None if verdict is None else verdict.outcome
+
+
+def holder_of(world: World, task: str) -> str:
+    """The machine whose endpoint runs a task."""
+    for machine in world.machines.values():
+        if any(name == task for name, _ in machine.endpoint.active):
+            return machine.name
+    raise AssertionError(f"{task} runs nowhere")
+
+
+def assert_kept(world: World) -> None:
+    assert world.breaches == []
+    assert world.false_refusals() == []
+
+
+def test_a_job_is_complete_when_its_tasks_are_done() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=8, run_s=0.12)
+    world.run(0.2)
+    assert outcome(job) is Outcome.COMPLETED
+    assert world.starts == 8
+    assert job.ended_at - job.at < 0.15
+
+
+def test_a_task_that_fails_is_run_again_elsewhere_until_its_attempts_are_used_up() -> None:
+    world = ready_world()
+    good = world.submit("e0", failures=2)
+    bad = world.submit("e0", failures=3)
+    world.run(1.0)
+    assert outcome(good) is Outcome.COMPLETED
+    assert outcome(bad) is Outcome.FAILED
+    assert_kept(world)
+
+
+def test_no_endpoint_gets_more_than_it_has_room_for() -> None:
+    world = ready_world(agents=2, entries=3)
+    for number in range(60):
+        world.submit(f"e{number % 3}", tasks=3, run_s=0.3)
+    world.run(6.0)
+    assert_kept(world)
+
+
+def test_a_job_that_cannot_be_in_time_is_refused_early_with_a_time_to_come_back() -> None:
+    world = ready_world(agents=1)
+    jobs = [world.submit("e0", tasks=10, run_s=0.5) for _ in range(10)]
+    world.run(0.3)
+    refused = [job for job in jobs if outcome(job) is Outcome.NOT_RUN]
+    assert len(refused) >= 7
+    assert all(job.ticket.verdict.retry_after_s > 0 for job in refused if job.ticket.verdict)
+    quarter_s = jobs[0].ticket.job.objective_s / 4
+    assert max(job.ended_at - job.at for job in refused) < quarter_s
+    assert_kept(world)
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_start_without_an_answer_is_never_run_twice(late: bool) -> None:
+    world = ready_world()
+    for machine in world.machines.values():
+        machine.endpoint.late_orders = 2 if late else 0
+        machine.endpoint.lose_answers = 0 if late else 2
+    jobs = [world.submit("e0", tasks=4, run_s=0.4) for _ in range(4)]
+    world.run(6.0)
+    assert [outcome(job) for job in jobs] == [Outcome.COMPLETED] * 4
+    assert_kept(world)
+
+
+def test_a_killed_agent_loses_no_job_and_runs_none_twice() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=6, run_s=1.0)
+    world.run(0.3)
+    name = holder_of(world, f"{job.spec.job_id}.0.0.0")
+    world.kill(world.process_of(name))
+    world.run(0.4)
+    world.start_agent(name)
+    world.run(4.0)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
+
+
+def test_a_dark_machine_is_given_up_only_when_its_leases_are_over() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=3, run_s=1.0)
+    world.run(0.2)
+    name = holder_of(world, f"{job.spec.job_id}.0.0.0")
+    for entry in ("e0",):
+        world.cut_apart(name, entry, 10.0)
+    world.run(4.5)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
+
+
+@pytest.mark.parametrize("seconds", [0.3, 0.6, 1.0, 2.5])
+def test_a_frozen_agent_does_nothing_with_what_it_held(seconds: float) -> None:
+    world = ready_world()
+    jobs = [world.submit("e0", tasks=4, run_s=0.7) for _ in range(3)]
+    world.run(0.1)
+    name = holder_of(world, f"{jobs[0].spec.job_id}.0.0.0")
+    world.freeze(world.process_of(name), seconds)
+    later = [world.submit("e0", tasks=4, run_s=0.7) for _ in range(3)]
+    world.run(6.0)
+    assert all(outcome(job) is not None for job in jobs + later)
+    assert_kept(world)
+
+
+def test_a_killed_entry_leaves_nothing_running_when_its_callers_send_again() -> None:
+    world = ready_world(entries=2)
+    job = world.submit("e0", tasks=6, run_s=2.5)
+    world.run(0.5)
+    world.kill(world.process_of("e0"))
+    world.run(1.3)
+    again = world.submit("e1", tasks=6, run_s=2.5, job_id=job.spec.job_id)
+    world.run(4.5)
+    assert outcome(again) is Outcome.COMPLETED
+    assert_kept(world)
+
+
+def test_a_frozen_entry_wakes_to_a_job_that_runs_elsewhere_and_does_not_run_it_again() -> None:
+    world = ready_world(entries=2)
+    job = world.submit("e0", tasks=6, run_s=1.0, time_limit_s=2.0)
+    world.run(0.3)
+    world.freeze(world.process_of("e0"), 4.0)
+    world.run(3.6)
+    world.submit("e1", tasks=6, run_s=1.0, job_id=job.spec.job_id)
+    world.run(4.0)
+    assert_kept(world)
+
+
+def test_an_entry_cut_from_an_agent_and_back_keeps_what_runs_there() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=3, run_s=1.0)
+    world.run(0.2)
+    for name in world.machines:
+        world.reset(name, "e0")
+    world.run(1.5)
+    assert outcome(job) is Outcome.COMPLETED
+    assert world.starts == 3
+    assert_kept(world)
+
+
+def test_an_endpoint_that_fails_everything_gets_little_work() -> None:
+    world = ready_world(agents=4)
+    world.machines["w0"].endpoint.failing = True
+    jobs = []
+    for _ in range(100):
+        jobs.append(world.submit("e0", tasks=2, run_s=0.1))
+        world.run(0.03)
+    world.run(2.0)
+    completed = sum(outcome(job) is Outcome.COMPLETED for job in jobs)
+    assert completed >= 97
+    assert world.wasted_runs < 25
+    assert_kept(world)
+
+
+def test_runs_that_stand_still_are_moved_and_their_endpoint_is_left_out() -> None:
+    world = ready_world(agents=4)
+    world.machines["w0"].endpoint.speed = 0.0
+    jobs = []
+    for _ in range(60):
+        jobs.append(world.submit("e0", tasks=2, run_s=0.3))
+        world.run(0.05)
+    world.run(3.0)
+    assert all(outcome(job) is Outcome.COMPLETED for job in jobs)
+    assert max(job.ended_at - job.at for job in jobs) < 1.5
+    assert world.wasted_runs < 30
+    assert_kept(world)
+
+
+def test_a_draining_endpoint_gets_nothing_new() -> None:
+    world = ready_world(agents=2)
+    machine = world.machines["w0"]
+    machine.sequence += 1
+    assert machine.agent is not None
+    machine.agent.on_report(world.report_of(machine, draining=True))
+    before = len(machine.endpoint.active)
+    world.run(0.01)
+    for _ in range(6):
+        world.submit("e0", tasks=1, run_s=0.2)
+    world.run(0.1)
+    assert before == len(machine.endpoint.active) == 0
+
+
+def test_another_endpoint_at_the_same_address_is_counted_by_its_own_size() -> None:
+    world = ready_world(agents=1)
+    world.submit("e0", tasks=9, run_s=2.0)
+    world.run(0.2)
+    world.replace_endpoint("w0", Room(4000, 1024, 0))
+    jobs = [world.submit("e0", tasks=4, run_s=0.2) for _ in range(3)]
+    world.run(5.0)
+    assert all(outcome(job) is not None for job in jobs)
+    assert_kept(world)
+
+
+def test_a_restarted_agent_stops_what_it_finds_before_it_starts_anything() -> None:
+    world = ready_world(agents=1)
+    world.submit("e0", tasks=10, run_s=3.0, time_limit_s=9.0)
+    world.run(0.1)
+    world.kill(world.process_of("w0"))
+    world.start_agent("w0")
+    job = world.submit("e0", tasks=10, run_s=0.2, time_limit_s=9.0)
+    world.run(8.0)
+    assert outcome(job) is not None
+    assert_kept(world)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_random_walks_keep_every_promise(seed: int) -> None:
+    world = ready_world(agents=5, entries=3, seed=seed)
+    rng = Random(seed)
+    for _ in range(60):
+        _disturb(world, rng)
+        for _ in range(rng.randrange(4)):
+            entry = rng.choice(sorted(world.entries))
+            world.submit(
+                entry,
+                tasks=rng.randrange(1, 9),
+                run_s=rng.choice([0.06, 0.2, 0.9]),
+                failures=rng.choice([0] * 20 + [1, 3]),
+            )
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(9.0)
+    assert_kept(world)
+    assert all(outcome(job) is not None for job in world.asked if _entry_lives(world, job))
+
+
+def _entry_lives(world: World, job: object) -> bool:
+    tickets = [node.entry.jobs.values() for node in world.entries.values() if node.entry]
+    return any(job.ticket in each for each in tickets)  # type: ignore[attr-defined]
+
+
+def _disturb(world: World, rng: Random) -> None:
+    machine = world.machines[rng.choice(sorted(world.machines))]
+    entry = rng.choice(sorted(world.entries))
+    endpoint = machine.endpoint
+    what = rng.randrange(14)
+    if what == 0:
+        world.kill(world.process_of(machine.name))
+        world.at(rng.uniform(0.05, 2.0), "", world.start_agent, machine.name)
+    elif what == 1:
+        world.freeze(world.process_of(machine.name), rng.uniform(0.1, 3.0))
+    elif what == 2:
+        world.freeze(world.process_of(entry), rng.uniform(0.1, 3.0))
+    elif what == 3:
+        world.kill(world.process_of(entry))
+        world.start_entry(entry)
+    elif what == 4:
+        world.cut_apart(machine.name, entry, rng.uniform(0.1, 4.0))
+    elif what == 5:
+        world.reset(machine.name, entry)
+    elif what == 6:
+        endpoint.lose_answers = rng.randrange(4)
+    elif what == 7:
+        endpoint.late_orders = rng.randrange(3)
+    elif what == 8:
+        endpoint.failing = not endpoint.failing
+    elif what == 9:
+        endpoint.silent = not endpoint.silent
+    elif what == 10:
+        endpoint.speed = rng.choice([0.0, 0.2, 1.0, 1.0])
+    elif what == 11:
+        sizes = [ENDPOINT_ROOM, Room(8000, 2048, 0)]
+        world.replace_endpoint(machine.name, rng.choice(sizes))
+
+
+def test_the_objective_is_the_stretched_work_and_the_allowance() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=2, run_s=0.5)
+    assert job.ticket.job.objective_s == pytest.approx(0.5 * QUEUE.stretch + 0.06)
