--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from gentianmux.clock import Clock
-from gentianmux.leased.agent import LOOK_S, REPORT_S, Agent
+from gentianmux.leased.agent import REPORT_S, Agent
 from gentianmux.leased.chain import ECHO_S
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
 from gentianmux.leased.entry import STEP_S, Entry, Ticket
@@ -520,9 +520,8 @@
     # Network
 
     def _links(self) -> Iterator[FakeLinks]:
-        for node in (*self.machines.values(), *self.entries.values()):
-            if node.links is not None:
-                yield node.links
+        nodes: list[Machine | EntryNode] = [*self.machines.values(), *self.entries.values()]
+        yield from (node.links for node in nodes if node.links is not None)
 
     def _connect(self) -> None:
         """Open what connections can be opened, as agents do every 0.1 s."""
@@ -641,7 +640,7 @@
         if ticket.verdict is not None:
             asked.ended_at = self.time
         with suppress(AttributeError):
-            ticket.done.set = ended  # type: ignore[method-assign]
+            ticket.done.set = ended
         return asked
 
     def note_start(self, endpoint: FakeEndpoint, task: str) -> None:
