Lost looks are made again soon and cost no lease

Change: a look is given up 0.08 s after its wait, two in a row make an endpoint silent, leases are still renewed for 0.25 s, and are 0.55 instead of 0.7 of the longest, so that the bound on the end of all leases stays where it was.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -89,6 +89,8 @@
         Work done in a second; 0 makes everything stand still.
     failing, silent, unhealthy : bool
         Whether runs fail at once, calls get no answer, starts are refused.
+    lose_looks : float
+        Share of looks that are carried out and not answered.
     lose_answers : int
         Starts that get no answer although they are carried out.
     late_orders : int
@@ -104,6 +106,7 @@
         self.silent = False
         self.unhealthy = False
         self.lose_answers = 0
+        self.lose_looks = 0.0
         self.late_orders = 0
         self.late_by = 3.0
         self.up = True
@@ -183,6 +186,7 @@
         self._endpoint: FakeEndpoint | None = None
         self._fence = 0
         self._lease_end = 0.0
+        self.blocked_until = 0.0
 
     def attach(self, report: EndpointReport) -> None:
         now_there = self._machine.endpoint
@@ -240,7 +244,17 @@
             self._world.at(STOP_S + 0.0001, "", endpoint.advance)
         return True
 
-    def hold(self, acknowledged: int, wait: float, lease: float) -> HoldReply:
+    def hold(self, acknowledged: int, wait: float, lease: float, timeout: float) -> HoldReply:
+        """Look at once; one whose answer is lost takes up ``timeout``."""
+        if self._world.time < self.blocked_until:
+            raise NoAnswer("still waiting")
+        try:
+            return self._hold(acknowledged, lease)
+        except NoAnswer:
+            self.blocked_until = self._world.time + timeout
+            raise
+
+    def _hold(self, acknowledged: int, lease: float) -> HoldReply:
         until = self._until(lease) if lease else 0.0
         endpoint = self._there()
         endpoint.advance()
@@ -252,6 +266,8 @@
         if lease:
             limit = self._world.time + LONGEST_LEASE_S / SLOW_CLOCK
             endpoint.lease_until = max(endpoint.lease_until, min(until, limit))
+        if self._world.rng.random() < endpoint.lose_looks:
+            raise NoAnswer("the answer is lost")
         endpoint.ends = [row for row in endpoint.ends if row.number > acknowledged]
         active = tuple(
             ActiveRun(task, run, min(99.0, 100 * r.done_s / r.work.run_s))
@@ -457,7 +473,11 @@
         self.every(REPORT_S, me.process, agent.send_load)
         self.every(0.05, me.process, agent.check_chains)
         self.every(0.1, me.process, agent.repeat_stops)
-        self.every(0.01, me.process, lambda: agent.report is not None and agent.look())
+        self.every(0.01, me.process, lambda: self._look(agent, driver))
+
+    def _look(self, agent: Agent, driver: FakeDriver) -> None:
+        if agent.report is not None and self.time >= driver.blocked_until:
+            agent.look()
 
     def start_entry(self, name: str) -> None:
         """Start an entry's process."""
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -49,9 +49,20 @@
 GATHER_S = 0.002
 """Seconds for which changes are gathered into one load report: about one network round trip."""
 
-LOOK_S = 0.1
+LOOK_S = 0.08
 """Seconds that a look waits for an end; progress and leases are renewed that often."""
 
+LOOK_PATIENCE_S = 0.08
+"""Seconds beyond its wait after which a look is taken as lost and made again. An answer takes
+some 2 ms; a processor that is granted in tenths of a second delays it by up to 90."""
+
+SILENT_LOOKS = 2
+"""Lost looks in a row after which the endpoint gets nothing new; single ones are only lost."""
+
+RENEW_WITHOUT_ANSWER_S = 0.25
+"""Seconds since the last answered look for which lost looks still renew the lease: two tries. It
+is bounded, or there would be no moment at which every lease has surely run out."""
+
 CLEANING_LOOK_S = 0.01
 """Seconds that a look waits while runs of an earlier agent are being stopped."""
 
@@ -135,6 +146,8 @@
         self.answering = False
         self.on_endpoint: Callable[[EndpointReport | None], None] = lambda report: None
         self._lease_s = lease_s(cfg)
+        self._lost_looks = 0
+        self._answered_at = 0.0
         self._attached = Event()
         self._number = 0
         self._ended_number = 0
@@ -230,12 +243,13 @@
     def look(self) -> bool:
         """Look at the endpoint once, renewing its lease; false when it did not answer."""
         clean = self.table.is_clean
-        # Leases of what an earlier agent began are not renewed: it has to end. Nor are any while
-        # the endpoint is silent, or there would be no moment at which all have surely run out.
-        renew_s = self._lease_s if clean and self.answering else 0.0
+        lately = self._clock.now() - self._answered_at < RENEW_WITHOUT_ANSWER_S
+        # Leases of what an earlier agent began are not renewed: it has to end.
+        renew_s = self._lease_s if clean and lately else 0.0
         wait_s = LOOK_S if clean else CLEANING_LOOK_S
+        timeout_s = wait_s + LOOK_PATIENCE_S
         try:
-            reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s)
+            reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s, timeout_s)
         except EndpointGone:
             self._detach("another life of it answers")
         except NoAnswer as exc:
@@ -247,10 +261,11 @@
 
     def _on_silence(self, reason: str) -> None:
         self._metrics.count("endpoint_silences")
-        if self.answering:
+        self._lost_looks += 1
+        if self.answering and self._lost_looks >= SILENT_LOOKS:
             logger.bind(reason=reason, runs=len(self.table.runs)).warning("endpoint is silent")
-        self.answering = False
-        self._load_soon()
+            self.answering = False
+            self._load_soon()
         if self.table.runs and self._clock.now() > self._driver.lease_end():
             self._end_all(self.table.lose_all())
 
@@ -258,6 +273,8 @@
         if not self.answering and self.report is not None:
             logger.bind(endpoint=self.report.endpoint).info("endpoint answers")
         self.answering = True
+        self._lost_looks = 0
+        self._answered_at = reply.asked_at
         was_clean = self.table.is_clean
         finished = self.table.looked_at(reply, self._clock.now())
         self._end_all(finished)
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -192,7 +192,7 @@
         """Stop a run, present or still on its way; whether the endpoint confirmed it."""
         ...
 
-    def hold(self, acknowledged: int, wait_s: float, lease_s: float) -> HoldReply:
+    def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
         """Renew the lease of all runs (0: only look) and wait for an end.
 
         Raises
--- a/src/gentianmux/leased/settings.py
+++ b/src/gentianmux/leased/settings.py
@@ -63,9 +63,10 @@
     peer_key: str = ""
 
 
-LEASE_SHARE = 0.7
-"""Part of the longest lease that agents ask for, renewed about every 0.1 s: seven renewals may
-fail before a run is lost, and chain, lease and stop together stay within ``resend_s``."""
+LEASE_SHARE = 0.55
+"""Part of the longest lease that agents ask for, renewed about every 0.1 s and through 0.25 s of
+lost answers: three renewals may fail before a run is lost, and chain, lease and stop together
+stay within ``resend_s``."""
 
 
 def lease_s(cfg: LeasedSettings) -> float:
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -23,9 +23,6 @@
 START_S = 0.15
 """Seconds for the answer to a start or stop; it takes some 2 ms, and 15 on a slowed machine."""
 
-LOOK_MARGIN_S = 0.3
-"""Seconds beyond its wait that a look may take before the endpoint counts as silent."""
-
 CONNECTIONS = 24
 """Calls to the endpoint at once: a look, and starts and stops of a burst."""
 
@@ -125,7 +122,7 @@
             return False
         return reply.status in (200, REPLACED)
 
-    def hold(self, acknowledged: int, wait_s: float, lease_s: float) -> HoldReply:
+    def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
         """Renew the lease of all runs (0: only look) and wait for an end."""
         if not self._fence:
             self._raise_fence()
@@ -133,7 +130,7 @@
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
         if lease_s:
             content["until_ms"] = self._until(lease_s)
-        reply = self._call("/v1/hold", content, wait_s + LOOK_MARGIN_S)
+        reply = self._call("/v1/hold", content, timeout_s)
         if reply.status == REPLACED:
             raise EndpointGone
         if reply.status == 409:
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -285,3 +285,29 @@
     world = ready_world()
     job = world.submit("e0", tasks=2, run_s=0.5)
     assert job.ticket.job.objective_s == pytest.approx(0.5 * QUEUE.stretch + 0.06)
+
+
+def test_lost_answers_to_looks_cost_no_run() -> None:
+    world = ready_world(agents=3)
+    for machine in world.machines.values():
+        machine.endpoint.lose_looks = 0.3
+    jobs = []
+    for _ in range(60):
+        jobs.append(world.submit("e0", tasks=3, run_s=0.4))
+        world.run(0.1)
+    world.run(2.0)
+    assert all(outcome(job) is Outcome.COMPLETED for job in jobs)
+    assert world.wasted_runs == 0
+    assert sorted(job.ended_at - job.at for job in jobs)[-4] < 0.8
+    assert_kept(world)
+
+
+def test_an_endpoint_that_answers_nothing_is_given_up_when_its_leases_are_over() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=3, run_s=3.0)
+    world.run(0.2)
+    name = holder_of(world, f"{job.spec.job_id}.0.0.0")
+    world.machines[name].endpoint.lose_looks = 1.0
+    world.run(4.6)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
