--- a/src/gentianmux/leased/admission.py
+++ b/src/gentianmux/leased/admission.py
@@ -5,12 +5,10 @@
 
 from .job_state import JobState
 
-DECIDE_SHARE = 0.2
-"""Part of its latency objective after which a job that has not begun is decided for good: kept if
-it can be in time, else refused. A refusal that comes later is of no use to the caller."""
-
-HOPE = 1.0
-"""Part of the estimate that has to fit before the objective; lower keeps more that ends late."""
+DECIDE_SHARE = 0.15
+"""Part of its latency objective at which a job that has not begun is decided for good: refused if
+it cannot begin in time, else kept to the end. A refusal after a quarter of the objective is of no
+use to the caller, and the objective rests on an estimate that may be 40 % too high."""
 
 
 class Load(NamedTuple):
@@ -35,27 +33,39 @@
     return load.ahead_cpu_s / load.capacity_cpu
 
 
-def hopeless(waiting: Iterable[JobState], capacity_cpu: float, now: float) -> list[JobState]:
-    """Jobs that have not begun and cannot be in time, in the order of their urgency.
+class Decision(NamedTuple):
+    """Jobs whose time to be decided has come: those to refuse, and those to keep."""
+
+    refused: list[JobState]
+    kept: list[JobState]
+
+
+def decide(waiting: Iterable[JobState], capacity_cpu: float, now: float) -> Decision:
+    """Decide jobs that have not begun, most urgent first.
 
     Parameters
     ----------
     waiting : iterable of JobState
-        The backlog, most urgent first.
+        The backlog of a service, most urgent first.
     capacity_cpu : float
         Cores that this entry's backlog can count on.
     now : float
         Monotonic time in seconds.
+
+    Returns
+    -------
+    Decision
+        What was decided just now; jobs not yet due are in neither list.
     """
-    ahead = 0.0
-    refused = []
+    ahead_cpu_s = 0.0
+    decision = Decision([], [])
     for job in waiting:
-        if job.began:
-            ahead += job.work_cpu_s
-            continue
-        begin = now + wait_s(Load(ahead, capacity_cpu))
-        if begin > job.latest_start:
-            refused.append(job)
-        else:
-            ahead += job.work_cpu_s
-    return refused
+        due = now - job.arrived >= DECIDE_SHARE * job.objective_s
+        if due and not job.began and not job.kept:
+            begin = now + wait_s(Load(ahead_cpu_s, capacity_cpu))
+            if begin > job.latest_start:
+                decision.refused.append(job)
+                continue
+            decision.kept.append(job)
+        ahead_cpu_s += job.work_cpu_s
+    return decision
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -25,7 +25,7 @@
     Withdraw,
 )
 from ..metrics import Metrics
-from .admission import DECIDE_SHARE, hopeless, urgency
+from .admission import decide, urgency
 from .chain import ECHO_S
 from .config_feed import ConfigFeed
 from .fleet_view import AgentView, FleetView, Wish
@@ -35,8 +35,9 @@
 from .room import NO_ROOM
 from .settings import LeasedSettings
 
-STEP_S = 0.02
-"""Seconds between checks of deadlines, refusals and lost agents."""
+STEP_S = 0.01
+"""Seconds between checks of deadlines, refusals and lost agents, a quarter of the time in which
+the shortest job, of 50 ms, is decided."""
 
 SETTLE_S = 0.05
 """Seconds after a connection opens for its agent's ended runs to arrive."""
@@ -401,7 +402,7 @@
         for ticket in list(self.jobs.values()):
             if now >= ticket.job.deadline:
                 self._give_up(ticket.job, "deadline passed")
-        self._refuse_hopeless(now)
+        self._decide(now)
         self._place()
 
     def _give_up(self, job: JobState, reason: str) -> None:
@@ -410,22 +411,22 @@
         else:
             self._finish(job, Verdict(Outcome.UNKNOWN, reason))
 
-    def _refuse_hopeless(self, now: float) -> None:
+    def _decide(self, now: float) -> None:
+        """Refuse early what cannot be in time, and what no agent can serve."""
         by_service: dict[str, list[JobState]] = defaultdict(list)
         for job in sorted(self._backlog.values(), key=urgency):
             by_service[job.queue.service].append(job)
         for service, jobs in by_service.items():
             capacity = self._view.capacity(service, now).cpu / 1000 / max(1, self.entries)
             if not capacity:
-                refused = [j for j in jobs if now - j.arrived > NO_AGENT_S]
-            else:
-                refused = hopeless(jobs, capacity, now)
-            for job in refused:
-                decided = now - job.arrived >= DECIDE_SHARE * job.objective_s
-                if job.proved_not_run and (decided or not capacity):
-                    self._finish(job, Verdict(Outcome.NOT_RUN, "cannot be in time", RETRY_AFTER_S))
-                elif not capacity:
-                    self._finish(job, Verdict(Outcome.UNKNOWN, "no agent is left"))
+                for job in [job for job in jobs if now - job.arrived > NO_AGENT_S]:
+                    self._give_up(job, "no agent serves its service")
+                continue
+            decision = decide(jobs, capacity, now)
+            for job in decision.kept:
+                job.kept = True
+            for job in decision.refused:
+                self._give_up(job, "cannot be in time")
 
     def leave(self, linger_s: float, until: float) -> None:
         """Take jobs for ``linger_s`` more, then none; answer all by ``until``.
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -65,6 +65,10 @@
     ----------
     objective_s : float
         Latency objective: the stretched estimate of the longest chain, and the allowance.
+    began : bool
+        Whether a task of it was handed to an agent.
+    kept : bool
+        Whether it was decided to wait for as long as it takes.
     """
 
     def __init__(self, spec: JobSpec, queue: QueueRules, now: float, deadline: float) -> None:
@@ -75,6 +79,7 @@
         self.chain_s = _longest_chain_ms(spec.steps) / 1000
         self.objective_s = queue.stretch * self.chain_s + queue.target_ms / 1000
         self.began = False
+        self.kept = False
         self.may_have_run = False
         self.failed = False
         self.tasks: dict[str, TaskState] = {}
