--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -14,7 +14,7 @@
 from .model import EndpointReport
 from .room import Room
 
-TOPIC = "keyed.gentianmux-{}"
+TOPIC = "gentianmux-{}"
 """Topic of a role's announcements, one key an instance."""
 
 
--- a/src/gentianmux/platform/callers.py
+++ b/src/gentianmux/platform/callers.py
@@ -15,7 +15,7 @@
 from ..leased.config_feed import ConfigFeed
 from ..leased.entry import Entry
 from ..leased.job_state import Outcome
-from ..leased.model import JobSpec, QueueRules, StepSpec
+from ..leased.model import JobSpec, QueueRules, RequestLimits, StepSpec
 from ..leased.room import Room
 from ..metrics import Metrics
 from ..settings import Settings
@@ -75,6 +75,13 @@
         self._cfg = cfg
         self._metrics = metrics
 
+    def limit(self, limits: RequestLimits) -> None:
+        """Bound bodies by what the configuration says."""
+        self._cfg = self._cfg._replace(
+            max_body_kb=max(1, limits.max_body_bytes // 1024),
+            body_timeout_ms=int(limits.idle_timeout_s * 1000),
+        )
+
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
         try:
--- a/src/gentianmux/platform/config.py
+++ b/src/gentianmux/platform/config.py
@@ -55,5 +55,5 @@
     )
 
 
-CONFIG_SOURCE = ConfigSource("keyed.op", "config", decode_config)
+CONFIG_SOURCE = ConfigSource("op", "config", decode_config)
 """Where the platform keeps the configuration: a key of the operators' topic."""
--- a/src/gentianmux/platform/store.py
+++ b/src/gentianmux/platform/store.py
@@ -23,6 +23,9 @@
 PARTITION = 0
 """Keyed topics of this product have one partition: a record an instance and some changes a day."""
 
+KEYED = "keyed."
+"""How the names of topics begin of which the store keeps the newest record of each key."""
+
 _LENGTH = struct.Struct("!I")
 _OFFSETS = struct.Struct("!QQ")
 
@@ -50,12 +53,12 @@
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = _LENGTH.pack(len(content)) + content
-        self._call("POST", "/v1/log-append", {"topic": topic, "part": PARTITION}, body)
+        self._call("POST", "/v1/log-append", _partition(topic), body)
 
     def newest(self, topic: str) -> Newest:
         """Read the newest value of each key, page by page."""
         values: dict[str, bytes] = {}
-        query: dict[str, str | int] = {"topic": topic, "part": PARTITION}
+        query = _partition(topic)
         while True:
             reply = self._call("GET", "/v1/log-newest", query)
             try:
@@ -73,12 +76,7 @@
 
     def changes(self, topic: str, offset: int, wait_s: float) -> Changes:
         """Read what came from an offset on, waiting up to ``wait_s`` for something to come."""
-        query: dict[str, str | int] = {
-            "topic": topic,
-            "part": PARTITION,
-            "from": offset,
-            "wait_ms": int(wait_s * 1000),
-        }
+        query = {**_partition(topic), "from": offset, "wait_ms": int(wait_s * 1000)}
         reply = self._call("GET", "/v1/log-read", query, timeout_s=wait_s + CALL_S)
         try:
             # The end of the partition, not of what this answer holds.
@@ -116,6 +114,10 @@
         return LogError(ResultCode.LOG_UNAVAILABLE, reason)
 
 
+def _partition(topic: str) -> dict[str, str | int]:
+    return {"topic": KEYED + topic, "part": PARTITION}
+
+
 def _split(data: bytes) -> Iterator[tuple[str, bytes]]:
     """Keys and values of length-prefixed records; raises ``ValueError`` on a cut one."""
     at = 0
