Agents are told apart by their busiest resource; decisions are logged with their inputs

Cause: an agent's free room was judged by its freest resource, memory, of which nearly all is free, so that equals were told apart by chance alone. Found by the first test of the choice. Change: the busiest resource counts. Log lines for each placing, start, refusal and end, with the room, the age of the load report, the configuration's version and the load a refusal was judged by. Tests of the pure parts and of the decision log. Before: the test chooses the fuller of two agents; after: the emptier.

--- a/src/gentianmux/leased/admission.py
+++ b/src/gentianmux/leased/admission.py
@@ -33,10 +33,17 @@
     return load.ahead_cpu_s / load.capacity_cpu
 
 
+class Refusal(NamedTuple):
+    """A job that is refused, and the load that it was judged by."""
+
+    job: JobState
+    load: Load
+
+
 class Decision(NamedTuple):
     """Jobs whose time to be decided has come: those to refuse, and those to keep."""
 
-    refused: list[JobState]
+    refused: list[Refusal]
     kept: list[JobState]
 
 
@@ -62,9 +69,9 @@
     for job in waiting:
         due = now - job.arrived >= DECIDE_SHARE * job.objective_s
         if due and not job.began and not job.kept:
-            begin = now + wait_s(Load(ahead_cpu_s, capacity_cpu))
-            if begin > job.latest_start:
-                decision.refused.append(job)
+            load = Load(ahead_cpu_s, capacity_cpu)
+            if now + wait_s(load) > job.latest_start:
+                decision.refused.append(Refusal(job, load))
                 continue
             decision.kept.append(job)
         ahead_cpu_s += job.work_cpu_s
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -333,6 +333,15 @@
             how = self._begin(task, entry) if fresh else How.NOT_STARTED
             if how is not None:
                 self._metrics.count("runs_refused", label=how.name.lower())
+                logger.bind(
+                    task=task.name,
+                    run=task.run,
+                    peer=entry,
+                    how=how.name.lower(),
+                    chain_holds=fresh,
+                    free_cpu=self.table.room.free.cpu,
+                    accepting=self.is_accepting,
+                ).info("run not begun")
                 self._ended(entry, task.name, task.run, how, 0)
         self._flush_ended(entry)
         self._load_soon()
@@ -360,6 +369,14 @@
         if not self.table.begin(key, entry, need, task.estimate_ms, now):
             return How.NO_ROOM
         self._metrics.count("runs_started")
+        logger.bind(
+            task=task.name,
+            run=task.run,
+            peer=entry,
+            cpu=need.cpu,
+            free_cpu=self.table.room.free.cpu,
+            runs=len(self.table.runs),
+        ).info("run begun")
         self._clock.soon(self._start, task)
         return None
 
@@ -469,8 +486,15 @@
                 self.health.ended(_job_of(run.key[0]), how is How.FAILED, ratio, now)
             self._metrics.count("runs_ended", label=how.name.lower())
             self._metrics.observe("run_seconds", ran_s, label=how.name.lower())
-            if how is not How.DONE:
-                logger.bind(task=run.key[0], run=run.key[1], how=how.name.lower()).info("run ended")
+            logger.bind(
+                task=run.key[0],
+                run=run.key[1],
+                peer=run.entry,
+                how=how.name.lower(),
+                ran_ms=round(ran_s * 1000),
+                estimate_ms=run.estimate_ms,
+                percent=run.progress.percent,
+            ).info("run ended")
             self._ended(run.entry, *run.key, how, int(ran_s * 1000))
         for entry in {run.entry for run, _ in finished}:
             self._flush_ended(entry)
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -1,6 +1,6 @@
 """The entry: coordinates the jobs of its own callers over all agents it is connected to."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -25,7 +25,7 @@
     Withdraw,
 )
 from ..metrics import Metrics
-from .admission import decide, urgency
+from .admission import decide, urgency, wait_s
 from .chain import ECHO_S
 from .config_feed import ConfigFeed
 from .fleet_view import AgentView, FleetView, Wish
@@ -239,6 +239,30 @@
         now: float,
     ) -> bool:
         """Place what is ready of a job; false when there was no room for some of it."""
+        chosen: Counter[str] = Counter()
+        placed = self._place_tasks(job, serving, shares, chosen, now)
+        if chosen:
+            oldest = min(self._view.of(process).heard_at for process in chosen)
+            logger.bind(
+                job=job.spec.job_id,
+                agents=dict(chosen),
+                serving=len(serving),
+                load_age_ms=round((now - oldest) * 1000, 1),
+                waited_ms=round((now - job.arrived) * 1000, 1),
+                config_version=self._feed.version,
+            ).info("runs placed")
+        if placed:
+            self._backlog.pop(job.spec.job_id, None)
+        return placed
+
+    def _place_tasks(
+        self,
+        job: JobState,
+        serving: list[AgentView],
+        shares: dict[str, list[LeasedTask]],
+        chosen: Counter[str],
+        now: float,
+    ) -> bool:
         for task in list(job.ready()):
             agent = self._view.choose(self._wish(job, task, serving), serving)
             if agent is None or agent.state is None:
@@ -252,8 +276,7 @@
             shares[agent.process].append(
                 LeasedTask(task.name, run, payload, *step.need, step.estimate_ms)
             )
-        if not any(True for _ in job.ready()):
-            self._backlog.pop(job.spec.job_id, None)
+            chosen[agent.process] += 1
         return True
 
     def _wish(self, job: JobState, task: TaskState, serving: list[AgentView]) -> Wish:
@@ -433,7 +456,15 @@
             decision = decide(jobs, capacity, now)
             for job in decision.kept:
                 job.kept = True
-            for job in decision.refused:
+            for job, load in decision.refused:
+                logger.bind(
+                    job=job.spec.job_id,
+                    ahead_cpu_s=round(load.ahead_cpu_s, 2),
+                    capacity_cpu=round(load.capacity_cpu, 1),
+                    wait_ms=round(wait_s(load) * 1000),
+                    slack_ms=round((job.latest_start - now) * 1000),
+                    entries=self.entries,
+                ).info("refusal decided")
                 self._give_up(job, "cannot be in time")
 
     def _refuse_without_agents(self, service: str, jobs: list[JobState], now: float) -> None:
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -145,7 +145,8 @@
         state = agent.state
         far = bool(wish.prefers) and (state is None or wish.prefers not in state.labels)
         slowness = round(max(agent.slowness, 1.0) / SLOWNESS_STEP)
-        busy = 1 - agent.free.share_of(_capacity_of(agent))
+        capacity = _capacity_of(agent)
+        busy = capacity.minus(agent.free).share_of(capacity)
         return far, slowness, busy, self._rng.random()
 
 
--- /dev/null
+++ b/tests/test_leased_parts.py
@@ -0,0 +1,197 @@
+"""The pure parts of leased jobs: admission, room, health, progress, the view of the fleet."""
+
+from collections import deque
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianmux.leased.admission import DECIDE_SHARE, decide, urgency
+from gentianmux.leased.chain import CHAIN_S, AgentSide, surely_over
+from gentianmux.leased.fleet_view import FleetView, Wish
+from gentianmux.leased.health import FAILED_IN_A_ROW, EndpointHealth
+from gentianmux.leased.job_state import JobState, Phase
+from gentianmux.leased.model import How, JobSpec, QueueRules, StepSpec
+from gentianmux.leased.progress import STALL_S, Progress
+from gentianmux.leased.room import Room, RoomAccount
+from gentianmux.leased.settings import LeasedSettings, lease_s
+from gentianmux.messages import AgentLoad, EndpointState
+
+QUEUE = QueueRules("q", "h", "/q/", "s", 5000, 60, 0, 3, 1.6)
+
+
+def job(number: int = 1, tasks: int = 2, estimate_ms: int = 400, arrived: float = 0.0) -> JobState:
+    spec = JobSpec(f"{number:016x}", "", (StepSpec(tasks, Room(1600, 64), estimate_ms),))
+    return JobState(spec, QUEUE, arrived, arrived + 5.0)
+
+
+# Room
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 5), st.booleans()), max_size=60))
+def test_room_taken_never_exceeds_the_capacity_and_all_of_it_returns(
+    steps: list[tuple[int, int, bool]],
+) -> None:
+    account = RoomAccount(Room(10, 10))
+    for run, size, takes in steps:
+        if takes:
+            account.take((str(run), 1), Room(size, 1))
+        else:
+            account.give_back((str(run), 1))
+        assert account.capacity.fits(account.used)
+    for run in range(10):
+        account.give_back((str(run), 1))
+    assert account.used == Room()
+
+
+# The chain of leases
+
+
+def test_the_chain_counts_from_the_sending_of_the_report_that_was_echoed() -> None:
+    side = AgentSide()
+    for number in range(1, 11):
+        side.sent(number, number / 10)
+    side.echoed("e", 3)
+    assert side.holds("e", 0.3 + CHAIN_S - 0.01)
+    assert not side.holds("e", 0.3 + CHAIN_S + 0.01)
+    side.echoed("e", 2)
+    assert side.holds("e", 0.3 + CHAIN_S - 0.01)
+    side.echoed("e", 99)
+    assert not side.holds("e", 2.0)
+
+
+def test_all_leases_are_over_before_a_caller_sends_again() -> None:
+    cfg = LeasedSettings("entry", "e", "fd", "", "")
+    assert surely_over(0.0, lease_s(cfg)) < cfg.resend_s
+
+
+# Health and progress
+
+
+def test_failures_of_one_job_do_not_eject_an_endpoint() -> None:
+    health = EndpointHealth()
+    for _ in range(10):
+        health.ended("poison", True, None, 1.0)
+    assert not health.is_ejected(1.0)
+
+
+def test_an_endpoint_that_goes_on_failing_is_left_out_longer_and_recovers_at_once() -> None:
+    health = EndpointHealth()
+    for number in range(FAILED_IN_A_ROW):
+        health.ended(str(number), True, None, 0.0)
+    assert health.is_ejected(0.9)
+    assert health.offered(Room(9), 0, 1.1) == Room(9)
+    assert health.offered(Room(9), 1, 1.1) == Room()
+    health.ended("x", True, None, 1.2)
+    assert health.is_ejected(2.5)
+    health.ended("y", False, 1.0, 3.0)
+    assert health.offered(Room(9), 5, 3.0) == Room(9)
+
+
+def test_a_run_stalls_only_when_its_progress_stands_still() -> None:
+    progress = Progress(0.0)
+    for step in range(1, 20):
+        progress = progress.seen(step, step * 0.1)
+        assert not progress.is_stalled(step * 0.1 + 0.1)
+    assert progress.is_stalled(1.9 + STALL_S + 0.01)
+    assert progress.heading_for_ms(1.9) == pytest.approx(10_000, rel=0.01)
+
+
+# The fleet
+
+
+def fleet(now: float, frees: dict[str, int], slowness: dict[str, int] | None = None) -> FleetView:
+    view = FleetView(0.55, "fd1", Random(1))
+    for name, cpu in frees.items():
+        agent = view.of(f"{name}.1")
+        agent.state = EndpointState(f"{name}-x", "s", "fd1", 16000, 999, 0, ["a"], True)
+        load = AgentLoad(1, 0, cpu, 999, 0, (slowness or {}).get(name, 100), 1)
+        agent.take_load(load, now)
+    return view
+
+
+def test_the_fastest_agent_with_room_is_chosen_and_then_the_emptiest() -> None:
+    view = fleet(1.0, {"a": 2000, "b": 9000, "c": 16000}, {"c": 300})
+    wish = Wish("s", Room(1600, 64))
+    chosen = view.choose(wish, view.willing("s", 1.0))
+    assert chosen is not None
+    assert chosen.process == "b.1"
+    avoided = view.choose(wish._replace(avoid=frozenset({"b-x"})), view.willing("s", 1.0))
+    assert avoided is not None
+    assert avoided.process == "a.1"
+    assert view.choose(wish._replace(requires="z"), view.willing("s", 1.0)) is None
+
+
+def test_room_assigned_since_the_last_report_is_not_given_away_again() -> None:
+    view = fleet(1.0, {"a": 3000})
+    agent = view.of("a.1")
+    agent.pending[1] = Room(1600, 64)
+    assert view.choose(Wish("s", Room(1600, 64)), view.willing("s", 1.0)) is None
+    agent.take_load(AgentLoad(2, 1, 3000, 999, 0, 100, 1), 1.1)
+    assert view.choose(Wish("s", Room(1600, 64)), view.willing("s", 1.1)) is agent
+
+
+def test_a_silent_agent_gets_nothing_and_is_over_only_after_every_lease() -> None:
+    view = fleet(1.0, {"a": 3000})
+    assert view.willing("s", 1.2)
+    assert not view.willing("s", 1.4)
+    assert not view.is_over("a.1", 2.0)
+    assert view.is_over("a.1", 2.2)
+
+
+# Jobs and their admission
+
+
+def test_a_step_waits_for_the_steps_before_it() -> None:
+    first = StepSpec(2, Room(100, 1), 100)
+    second = StepSpec(1, Room(100, 1), 300, after=(0,))
+    state = JobState(JobSpec("a" * 16, "", (first, second)), QUEUE, 0.0, 5.0)
+    assert state.chain_s == pytest.approx(0.4)
+    names = [task.name for task in state.ready()]
+    assert names == [f"{'a' * 16}.0.0.0", f"{'a' * 16}.0.0.1"]
+    for task in list(state.ready()):
+        state.assign(task, "w", "x", 0.0)
+        state.ended(task.name, task.run, How.DONE)
+    assert [task.step for task in state.ready()] == [1]
+
+
+@pytest.mark.parametrize("how", [How.NO_ROOM, How.NOT_STARTED, How.OLD_RUN, How.LOST, How.STALLED])
+def test_only_failed_runs_count_as_attempts(how: How) -> None:
+    state = job(tasks=1)
+    for _ in range(10):
+        (task,) = state.ready()
+        run = state.assign(task, "w", "x", 0.0)
+        assert state.ended(task.name, run, how)
+        assert not state.ended(task.name, run, how)
+    assert not state.failed
+    assert state.proved_not_run == how.never_ran
+
+
+def test_jobs_are_decided_once_and_in_time() -> None:
+    late = DECIDE_SHARE * job().objective_s
+    jobs = [job(number) for number in range(40)]
+    assert decide(jobs, 4.0, late - 0.01) == ([], [])
+    decision = decide(jobs, 4.0, late + 0.01)
+    assert len(decision.kept) + len(decision.refused) == 40
+    assert 0 < len(decision.kept) < 10
+    for each in decision.kept:
+        each.kept = True
+    again = decide(decision.kept, 0.1, late + 0.3)
+    assert again.refused == []
+
+
+def test_what_has_begun_goes_first_and_then_what_has_to_begin_first() -> None:
+    begun, soon, patient = job(1), job(2, estimate_ms=100), job(3, estimate_ms=2000)
+    begun.began = True
+    assert sorted([patient, begun, soon], key=urgency) == [begun, soon, patient]
+    task, *_ = begun.ready()
+    begun.assign(task, "w", "x", 0.0)
+    assert [each.phase for each in begun.tasks.values()] == [Phase.OUT, Phase.WAITING]
+
+
+def test_recent_runs_alone_make_the_slowness() -> None:
+    health = EndpointHealth()
+    for ratio in deque([9.0] * 8 + [1.5] * 8):
+        health.ended("j", False, ratio, 1.0)
+    assert health.slowness() == pytest.approx(1.5)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -178,7 +178,9 @@
     assert b"gentianmux_runs_ended_total" in deployment.get("side-0", "metrics", "/metrics")[1]
     gevent.sleep(0.2)
     events = [json.loads(line) for line in deployment.log_of("front-0").splitlines()]
-    (ended,) = [event for event in events if event.get("job") == "0000000000000141"]
-    assert ended["event"] == "job ended"
+    placed, ended = [event for event in events if event.get("job") == "0000000000000141"]
+    assert (placed["event"], ended["event"]) == ("runs placed", "job ended")
+    assert placed["config_version"] == 1
+    assert placed["load_age_ms"] < 1000
     assert ended["outcome"] == "completed"
     assert events[0]["event"] == "started"
