An agent's reports to entries in a module of their own; two races of the agent mended

Cause, found by reading: a look still on its way when the endpoint is replaced would have been taken as of the new life, whose ends are numbered from 1 again, so that all of them would have counted as taken in; and a run that waits for an earlier run of its task could begin after it was withdrawn. Change: answers carry the life that was asked; withdrawn runs no longer wait. entry_reports.py takes load reports, offers and ended runs out of agent.py, without a change of behaviour.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -9,10 +9,7 @@
 
 from ..clock import Clock, repeat
 from ..messages import (
-    AgentLoad,
     Assign,
-    EndedRun,
-    EndedRuns,
     EndpointState,
     Hello,
     Holding,
@@ -25,8 +22,8 @@
     Withdraw,
 )
 from ..metrics import Metrics
-from .chain import AgentSide
 from .config_feed import ConfigFeed
+from .entry_reports import EntryReports, Load
 from .health import EndpointHealth
 from .links import Links
 from .model import (
@@ -46,9 +43,6 @@
 REPORT_S = 0.1
 """Seconds between load reports when nothing changes, a quarter of the lease chain."""
 
-GATHER_S = 0.002
-"""Seconds for which changes are gathered into one report to all: about one network round trip."""
-
 LOOK_S = 0.08
 """Seconds that a look waits for an end; progress and leases are renewed that often."""
 
@@ -81,9 +75,6 @@
 SLOW_MARGIN_MS = 100
 """Milliseconds allowed on top, since progress is seen in steps of some 100 ms."""
 
-FORGET_ENTRY_S = 10.0
-"""Seconds after which an entry that no longer echoes is dropped, with what it has not seen."""
-
 MOVE_ON_DRAIN_S = 0.3
 """Seconds that a run may exceed what a draining endpoint has left before it is moved."""
 
@@ -137,7 +128,6 @@
         self._clock = clock
         self.table = RunTable()
         self.health = EndpointHealth()
-        self.chain = AgentSide()
         self.report: EndpointReport | None = None
         self.leaving = False
         self.answering = False
@@ -146,15 +136,10 @@
         self._lost_looks = 0
         self._answered_at = 0.0
         self._attached = Event()
-        self._number = 0
-        self._ended_number = 0
-        self._applied: dict[str, int] = {}
-        self._unseen: dict[str, dict[int, EndedRun]] = {}
-        self._entry_seen: dict[str, float] = {}
-        self._reporting = False
+        self._life = 0
         self._replacing: set[RunKey] = set()
-        self._hungry: set[str] = set()
-        self._offered_to = ""
+        self._reports = EntryReports(links, clock, self._load)
+        self._chain = self._reports.chain
         links.on_open = self._on_open
         links.on_close = self._on_close
         links.on_message = self.on_message
@@ -180,11 +165,12 @@
         else:
             self._attach(report)
         self._tell_state()
-        self._load_soon()
+        self._reports.load_soon()
 
     def _attach(self, report: EndpointReport) -> None:
         logger.bind(endpoint=report.endpoint, capacity=report.capacity).info("endpoint found")
         self._end_all(self.table.lose_all())
+        self._life += 1
         self.report = report
         self.table.reset(report.capacity)
         self.health = EndpointHealth()
@@ -247,28 +233,32 @@
         renew_s = self._lease_s if clean and lately else 0.0
         wait_s = LOOK_S if clean else CLEANING_LOOK_S
         timeout_s = wait_s + LOOK_PATIENCE_S
+        life = self._life
         try:
             reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s, timeout_s)
         except EndpointGone:
-            self._detach("another life of it answers")
+            if life == self._life:
+                self._detach("another life of it answers")
         except NoAnswer as exc:
-            self._on_silence(str(exc))
+            if life == self._life:
+                self._on_silence(str(exc))
             return False
         else:
-            self._take_look(reply)
+            self._take_look(reply, life)
         return True
 
     def look_now(self) -> None:
         """Look without waiting, beside the look that waits for an end."""
         if self.report is None:
             return
+        life = self._life
         try:
             reply = self._driver.hold(self.table.acknowledged, 0.0, 0.0, LOOK_PATIENCE_S)
         except (EndpointGone, NoAnswer) as exc:
             # The look that waits finds the same, and acts on it.
             self._metrics.count("endpoint_silences", label=type(exc).__name__)
         else:
-            self._take_look(reply)
+            self._take_look(reply, life)
 
     def _on_silence(self, reason: str) -> None:
         self._metrics.count("endpoint_silences")
@@ -276,13 +266,14 @@
         if self.answering and self._lost_looks >= SILENT_LOOKS:
             logger.bind(reason=reason, runs=len(self.table.runs)).warning("endpoint is silent")
             self.answering = False
-            self._load_soon()
+            self._reports.load_soon()
         if self.table.runs and self._clock.now() > self._driver.lease_end():
             self._end_all(self.table.lose_all())
 
-    def _take_look(self, reply: HoldReply) -> None:
-        if reply.asked_at < self._answered_at:
-            # Overtaken by a newer look: what it lists may be gone by now.
+    def _take_look(self, reply: HoldReply, life: int) -> None:
+        if life != self._life or reply.asked_at < self._answered_at:
+            # Of an earlier life, whose ends are numbered from 1 as well, or overtaken by a newer
+            # look: what it lists may be gone by now.
             return
         if not self.answering and self.report is not None:
             logger.bind(endpoint=self.report.endpoint).info("endpoint answers")
@@ -297,7 +288,7 @@
         if self.table.is_clean != was_clean:
             self._tell_state()
         if finished:
-            self._offer_room()
+            self._reports.offer_room()
 
     def _watch_progress(self) -> None:
         now = self._clock.now()
@@ -312,7 +303,7 @@
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self.health.eject(now)
         if self.health.is_ejected(now):
-            self._load_soon()
+            self._reports.load_soon()
 
     def _is_slow(self, run: Run, now: float) -> bool:
         heading_ms = run.progress.heading_for_ms(now)
@@ -330,9 +321,9 @@
     @on_message.register
     def _(self, msg: Assign, entry: str) -> None:
         now = self._clock.now()
-        self.chain.echoed(entry, msg.echo)
-        self._applied[entry] = msg.number
-        fresh = self.chain.holds(entry, now)
+        self._chain.echoed(entry, msg.echo)
+        self._reports.applied[entry] = msg.number
+        fresh = self._chain.holds(entry, now)
         refused = False
         for task in msg.tasks:
             how = self._begin(task, entry) if fresh else How.NOT_STARTED
@@ -348,12 +339,9 @@
                     free_cpu=self.table.room.free.cpu,
                     accepting=self.is_accepting,
                 ).info("run not begun")
-                self._ended(entry, task.name, task.run, how, 0)
-        self._flush_ended(entry)
-        if refused:
-            self._report_load([entry])
-        elif entry == self._offered_to:
-            self._offer_room()
+                self._reports.ended(entry, task.name, task.run, how, 0)
+        self._reports.flush_ended(entry)
+        self._reports.answered(entry, refused)
 
     def _begin(self, task: LeasedTask, entry: str) -> How | None:
         """Begin a run; how it was refused, or None when it was not."""
@@ -373,7 +361,7 @@
             return None
         now = self._clock.now()
         need = Room(task.cpu, task.mem_mb, task.gpu)
-        if not self._offered().fits(need):
+        if not self.offered().fits(need):
             return How.NO_ROOM
         if not self.table.begin(key, entry, need, task.estimate_ms, now):
             return How.NO_ROOM
@@ -390,18 +378,20 @@
         return None
 
     def _begin_when_gone(self, task: LeasedTask, entry: str, until: float) -> None:
-        """Begin a run once every earlier run of its task is gone."""
+        """Begin a run once every earlier run of its task is gone, unless it was withdrawn."""
+        if (task.name, task.run) not in self._replacing:
+            return
         now = self._clock.now()
         gone = not self.table.runs_of_task(task.name)
         if not gone and now < until:
             self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, task, entry, until)
             return
         self._replacing.discard((task.name, task.run))
-        fresh = self.chain.holds(entry, now)
+        fresh = self._chain.holds(entry, now)
         how = self._begin(task, entry) if gone and fresh else How.NOT_STARTED
         if how is not None:
-            self._ended(entry, task.name, task.run, how, 0)
-            self._flush_ended(entry)
+            self._reports.ended(entry, task.name, task.run, how, 0)
+            self._reports.flush_ended(entry)
 
     def _start(self, task: LeasedTask) -> None:
         key = (task.name, task.run)
@@ -424,7 +414,7 @@
         done = self.table.refused(key, _NOT_RUN[verdict])
         if done is not None:
             self._end_all([done])
-            self._offer_room()
+            self._reports.offer_room()
 
     @on_message.register
     def _(self, msg: Withdraw, entry: str) -> None:
@@ -432,25 +422,17 @@
             run = self.table.runs.get((ref.task, ref.run))
             if run is not None and run.entry == entry:
                 self._stop(run.key, How.STOPPED, "withdrawn")
+            self._replacing.discard((ref.task, ref.run))
         self._stop_due()
 
     @on_message.register
     def _(self, msg: SeenRuns, entry: str) -> None:
-        unseen = self._unseen.get(entry, {})
-        for number in [number for number in unseen if number <= msg.up_to]:
-            del unseen[number]
+        self._reports.seen(entry, msg.up_to)
 
     @on_message.register
     def _(self, msg: LoadEcho, entry: str) -> None:
-        self.chain.echoed(entry, msg.number)
-        if msg.hungry:
-            if entry not in self._hungry:
-                self._hungry.add(entry)
-                self._report_load([entry])
-        else:
-            self._hungry.discard(entry)
-            if entry == self._offered_to:
-                self._offer_room()
+        self._chain.echoed(entry, msg.number)
+        self._reports.hunger(entry, msg.hungry)
         if msg.config_version < self._feed.version:
             self._share_config(entry)
 
@@ -486,10 +468,10 @@
         """Stop the runs of entries that no longer echo."""
         now = self._clock.now()
         for run in list(self.table.runs.values()):
-            if not self.chain.holds(run.entry, now):
+            if not self._chain.holds(run.entry, now):
                 self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
         self._stop_due()
-        self._forget_entries(now)
+        self._reports.forget_silent(now)
         self._links.close_silent()
 
     # Ends
@@ -512,21 +494,11 @@
                 estimate_ms=run.estimate_ms,
                 percent=run.progress.percent,
             ).info("run ended")
-            self._ended(run.entry, *run.key, how, int(ran_s * 1000))
+            self._reports.ended(run.entry, *run.key, how, int(ran_s * 1000))
         for entry in {run.entry for run, _ in finished}:
-            self._flush_ended(entry)
+            self._reports.flush_ended(entry)
         if self.health.is_ejected(now):
-            self._load_soon()
-
-    def _ended(self, entry: str, task: str, run: int, how: How, ran_ms: int) -> None:
-        self._ended_number += 1
-        row = EndedRun(self._ended_number, task, run, int(how), ran_ms)
-        self._unseen.setdefault(entry, {})[self._ended_number] = row
-
-    def _flush_ended(self, entry: str) -> None:
-        unseen = list(self._unseen.get(entry, {}).values())
-        if unseen:
-            self._links.send(entry, EndedRuns(unseen))
+            self._reports.load_soon()
 
     # Entries
 
@@ -537,25 +509,13 @@
         held = [RunRef(*run.key) for run in self.table.of_entry(entry)]
         held += [RunRef(*key) for key in sorted(self._replacing)]
         self._links.send(entry, self._state())
-        self._links.send(entry, Holding(self._applied.get(entry, 0), held))
-        self._flush_ended(entry)
-        self._load_soon()
+        self._links.send(entry, Holding(self._reports.applied.get(entry, 0), held))
+        self._reports.flush_ended(entry)
+        self._reports.load_soon()
 
     def _on_close(self, entry: str) -> None:
         """Keep what the entry runs until its lease is over: it may connect again."""
-        self._hungry.discard(entry)
-
-    def _forget_entries(self, now: float) -> None:
-        """Drop what is kept for entries whose process has surely ended."""
-        for entry in [*self._unseen, *self._applied]:
-            if self.chain.holds(entry, now):
-                self._entry_seen[entry] = now
-        gone = [name for name, at in self._entry_seen.items() if now - at > FORGET_ENTRY_S]
-        for entry in gone:
-            del self._entry_seen[entry]
-            self._unseen.pop(entry, None)
-            self._applied.pop(entry, None)
-            self.chain.forget(entry)
+        self._reports.hungry.discard(entry)
 
     def _state(self) -> EndpointState:
         report = self.report
@@ -576,43 +536,19 @@
         for entry in self._links.processes():
             self._links.send(entry, self._state())
 
-    def _offered(self) -> Room:
+    def offered(self) -> Room:
+        """Room in which new runs may begin now."""
         if not self.is_accepting:
             return NO_ROOM
         return self.health.offered(self.table.room.free, len(self.table.runs), self._clock.now())
 
-    def _load_soon(self) -> None:
-        """Report to all entries what changes for all of them."""
-        if not self._reporting:
-            self._reporting = True
-            self._clock.later(GATHER_S, self.send_load)
+    def _load(self) -> Load:
+        slowness_percent = int(self.health.slowness() * 100)
+        return Load(self.offered(), slowness_percent, self._feed.version)
 
     def send_load(self) -> None:
         """Report the room on offer to every entry."""
-        self._reporting = False
-        self._report_load(self._links.processes())
-
-    def _report_load(self, entries: list[str]) -> None:
-        self._number += 1
-        self.chain.sent(self._number, self._clock.now())
-        free = self._offered()
-        slowness = int(self.health.slowness() * 100)
-        for entry in entries:
-            applied = self._applied.get(entry, 0)
-            load = AgentLoad(self._number, applied, *free, slowness, self._feed.version)
-            self._links.send(entry, load)
-
-    def _offer_room(self) -> None:
-        """Report room to one entry that waits for it, in turn.
-
-        Told to all at once, every waiting entry would send runs for the same room; and reports of
-        each change to each entry took 0.39 of a core at an entry with 70 agents.
-        """
-        if not self._hungry or self._offered().cpu <= 0:
-            return
-        later = [entry for entry in self._hungry if entry > self._offered_to]
-        self._offered_to = min(later or self._hungry)
-        self._report_load([self._offered_to])
+        self._reports.send_load()
 
     # Leaving
 
@@ -627,7 +563,7 @@
             self._stop(key, How.STOPPED, "the agent ends")
         self._stop_due()
         last = self._clock.now() + 0.3
-        while (self.table.runs or any(self._unseen.values())) and self._clock.now() < last:
+        while (self.table.runs or self._reports.has_unseen) and self._clock.now() < last:
             gevent.sleep(0.02)
 
 
--- /dev/null
+++ b/src/gentianmux/leased/entry_reports.py
@@ -0,0 +1,158 @@
+"""What an agent tells entries: numbered load reports, room on offer, and ended runs."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..clock import Clock
+from ..messages import AgentLoad, EndedRun, EndedRuns
+from .chain import AgentSide
+from .links import Links
+from .model import How
+from .room import Room
+
+GATHER_S = 0.002
+"""Seconds for which changes are gathered into one report to all: about one network round trip."""
+
+FORGET_ENTRY_S = 10.0
+"""Seconds after which an entry that no longer echoes is dropped, with what it has not seen."""
+
+
+class Load(NamedTuple):
+    """What a load report says of the agent."""
+
+    offered: Room
+    slowness_percent: int
+    config_version: int
+
+
+class EntryReports:
+    """Reports to entries, and what each of them has taken in.
+
+    Parameters
+    ----------
+    links : Links
+        Connections to entries.
+    clock : Clock
+        Time and deferred calls.
+    load : callable
+        The agent's present load.
+
+    Attributes
+    ----------
+    chain : AgentSide
+        Until when each entry's runs may go on.
+    applied : dict
+        Number of the last assignment of each entry.
+    hungry : set
+        Entries that wait for room.
+
+    Examples
+    --------
+    ``reports.ended("e1.5", "task", 1, How.DONE, 120)`` and then ``reports.flush_ended("e1.5")``.
+    """
+
+    def __init__(self, links: Links, clock: Clock, load: Callable[[], Load]) -> None:
+        self.chain = AgentSide()
+        self.applied: dict[str, int] = {}
+        self.hungry: set[str] = set()
+        self._links = links
+        self._clock = clock
+        self._load = load
+        self._number = 0
+        self._ended_number = 0
+        self._unseen: dict[str, dict[int, EndedRun]] = {}
+        self._held_at: dict[str, float] = {}
+        self._offered_to = ""
+        self._gathering = False
+
+    # Ended runs
+
+    @property
+    def has_unseen(self) -> bool:
+        """Whether some ended run has not been acknowledged."""
+        return any(self._unseen.values())
+
+    def ended(self, entry: str, task: str, run: int, how: How, ran_ms: int) -> None:
+        """Keep how a run ended until its entry has acknowledged it."""
+        self._ended_number += 1
+        row = EndedRun(self._ended_number, task, run, int(how), ran_ms)
+        self._unseen.setdefault(entry, {})[self._ended_number] = row
+
+    def flush_ended(self, entry: str) -> None:
+        """Send an entry every ended run that it has not acknowledged."""
+        unseen = list(self._unseen.get(entry, {}).values())
+        if unseen:
+            self._links.send(entry, EndedRuns(unseen))
+
+    def seen(self, entry: str, up_to: int) -> None:
+        """Forget ended runs that an entry has acknowledged."""
+        unseen = self._unseen.get(entry, {})
+        for number in [number for number in unseen if number <= up_to]:
+            del unseen[number]
+
+    def forget_silent(self, now: float) -> None:
+        """Drop what is kept for entries whose process has surely ended."""
+        for entry in {*self._unseen, *self.applied}:
+            if self.chain.holds(entry, now):
+                self._held_at[entry] = now
+        gone = [entry for entry, at in self._held_at.items() if now - at > FORGET_ENTRY_S]
+        for entry in gone:
+            del self._held_at[entry]
+            self._unseen.pop(entry, None)
+            self.applied.pop(entry, None)
+            self.chain.forget(entry)
+
+    # Load
+
+    def load_soon(self) -> None:
+        """Report to all entries what changes for all of them."""
+        if not self._gathering:
+            self._gathering = True
+            self._clock.later(GATHER_S, self.send_load)
+
+    def send_load(self) -> None:
+        """Report the load to every entry."""
+        self._gathering = False
+        self._report(self._links.processes())
+
+    def _report(self, entries: list[str]) -> None:
+        self._number += 1
+        self.chain.sent(self._number, self._clock.now())
+        load = self._load()
+        for entry in entries:
+            applied = self.applied.get(entry, 0)
+            msg = AgentLoad(
+                self._number, applied, *load.offered, load.slowness_percent, load.config_version
+            )
+            self._links.send(entry, msg)
+
+    # Room on offer
+
+    def answered(self, entry: str, refused: bool) -> None:
+        """Follow up an assignment: tell its entry why it was refused, or offer what is left."""
+        if refused:
+            self._report([entry])
+        elif entry == self._offered_to:
+            self.offer_room()
+
+    def hunger(self, entry: str, hungry: bool) -> None:
+        """Note whether an entry waits for room."""
+        if not hungry:
+            self.hungry.discard(entry)
+            if entry == self._offered_to:
+                self.offer_room()
+        elif entry not in self.hungry:
+            self.hungry.add(entry)
+            self._report([entry])
+
+    def offer_room(self) -> None:
+        """Report room to one entry that waits for it, in turn.
+
+        Told to all at once, every waiting entry would send runs for the same room; and reports of
+        each change to each entry took 0.39 of a core at an entry with 70 agents.
+        """
+        if not self.hungry or self._load().offered.cpu <= 0:
+            return
+        later = [entry for entry in self.hungry if entry > self._offered_to]
+        self._offered_to = min(later or self.hungry)
+        self._report([self._offered_to])
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -6,6 +6,7 @@
 
 from bench.leased_world import ENDPOINT_ROOM, QUEUE, World
 from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.model import EndedRow, HoldReply, How
 from gentianmux.leased.room import Room
 
 
@@ -374,3 +375,41 @@
         view.pending.clear()
     entry._place()
     assert not late.ticket.job.began
+
+
+def test_a_look_at_an_earlier_life_says_nothing_of_the_present_one() -> None:
+    world = ready_world(agents=1)
+    machine = world.machines["w0"]
+    agent = machine.agent
+    assert agent is not None
+    ends = (EndedRow(50, "t", 1, How.DONE),)
+
+    def hold(*_: object) -> HoldReply:
+        # The endpoint is replaced while an answer of its earlier life is on its way.
+        world.replace_endpoint("w0")
+        machine.sequence += 1
+        agent.on_report(world.report_of(machine))
+        return HoldReply(world.time, (), ends)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(agent._driver, "hold", hold)
+        agent.look()
+    assert agent.table.acknowledged == 0
+    job = world.submit("e0", tasks=4, run_s=0.2)
+    world.run(1.0)
+    assert outcome(job) is Outcome.COMPLETED
+
+
+def test_a_run_withdrawn_while_it_waits_for_an_earlier_one_never_begins() -> None:
+    world = ready_world(agents=1, entries=2)
+    world.submit("e0", run_s=3.0, job_id="f" * 16)
+    world.run(0.2)
+    world.kill(world.process_of("e0"))
+    again = world.submit("e1", run_s=3.0, job_id="f" * 16)
+    world.run(0.002)
+    entry = world.entries["e1"].entry
+    assert entry is not None
+    entry.abandon(again.ticket, "its caller left")
+    world.run(1.0)
+    assert world.machines["w0"].endpoint.active == {}
+    assert world.starts == 1
