--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -487,7 +487,7 @@
                     job=job.spec.job_id,
                     ahead_cpu_s=round(load.ahead_cpu_s, 2),
                     capacity_cpu=round(load.capacity_cpu, 1),
-                    wait_ms=round(wait_s(load) * 1000),
+                    begins_in_ms=round(wait_s(load) * 1000),
                     slack_ms=round((job.latest_start - now) * 1000),
                     entries=self.entries,
                 ).info("refusal decided")
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -8,6 +8,7 @@
 from gentianmux.leased.job_state import Outcome
 from gentianmux.leased.model import EndedRow, HoldReply, How
 from gentianmux.leased.room import Room
+from gentianmux.messages import Assign, LeasedTask, RunRef, Withdraw
 
 
 def ready_world(agents: int = 3, entries: int = 1, seed: int = 1) -> World:
@@ -402,14 +403,15 @@
 
 def test_a_run_withdrawn_while_it_waits_for_an_earlier_one_never_begins() -> None:
     world = ready_world(agents=1, entries=2)
-    world.submit("e0", run_s=3.0, job_id="f" * 16)
+    first = world.submit("e0", run_s=3.0)
     world.run(0.2)
     world.kill(world.process_of("e0"))
-    again = world.submit("e1", run_s=3.0, job_id="f" * 16)
-    world.run(0.002)
-    entry = world.entries["e1"].entry
-    assert entry is not None
-    entry.abandon(again.ticket, "its caller left")
+    agent = world.machines["w0"].agent
+    assert agent is not None
+    task = LeasedTask(f"{first.spec.job_id}.0.0.0", 5, b"x", 1600, 64, 0, 3000)
+    echo = world.entries["e1"].view.of(world.process_of("w0")).newest_load  # type: ignore[union-attr]
+    agent.on_message(Assign(echo, 1, [task]), world.process_of("e1"))
+    agent.on_message(Withdraw([RunRef(task.name, 5)]), world.process_of("e1"))
     world.run(1.0)
     assert world.machines["w0"].endpoint.active == {}
     assert world.starts == 1
