--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -136,8 +136,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
-        reachable = self._view.reachable(self._clock.now())
-        return not self.leaving and self._feed.current is not None and bool(reachable)
+        reachable = self._view.is_reachable(self._clock.now())
+        return not self.leaving and self._feed.current is not None and reachable
 
     # Jobs
 
@@ -410,7 +410,7 @@
                 self._lose(process, "a later process of the agent is at work")
 
     def _lose(self, process: str, reason: str) -> None:
-        del self._view.agents[process]
+        self._view.forget(process)
         held = list(self._out[process])
         if held:
             logger.bind(peer=process, runs=len(held), reason=reason).warning("runs lost")
@@ -474,7 +474,7 @@
         for job in sorted(self._backlog.values(), key=urgency):
             by_service[job.queue.service].append(job)
         for service, jobs in by_service.items():
-            capacity = self._view.capacity(service, now).cpu / 1000 / max(1, self.entries)
+            capacity = self._view.capacity_cpu(service, now) / max(1, self.entries)
             if not capacity:
                 self._refuse_without_agents(service, jobs, now)
                 continue
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -15,6 +15,10 @@
 SAMPLE = 64
 """Agents looked at for one task; more cost time and find hardly more room."""
 
+LOOKED_AT = 256
+"""Agents looked at for one round of placing: four times the sample, so that a quarter of them may
+be silent, leaving or of other services. A round then costs the same however many there are."""
+
 SLOWNESS_STEP = 0.25
 """Differences in speed below this are noise of eight runs with estimates 40 % off."""
 
@@ -88,41 +92,57 @@
 
     def __init__(self, lease_s: float, failure_domain: str, rng: Random) -> None:
         self.agents: dict[str, AgentView] = {}
+        self._order: list[AgentView] = []
         self._lease_s = lease_s
         self._failure_domain = failure_domain
         self._rng = rng
 
     def of(self, process: str) -> AgentView:
         """The view of an agent's process, made when it is new."""
-        return self.agents.setdefault(process, AgentView(process))
+        view = self.agents.get(process)
+        if view is None:
+            view = self.agents[process] = AgentView(process)
+            self._order.append(view)
+        return view
+
+    def forget(self, process: str) -> None:
+        """Drop an agent's process that is surely over."""
+        self._order.remove(self.agents.pop(process))
 
     def is_over(self, process: str, now: float) -> bool:
         """Whether nothing that the agent was assigned can still run."""
         view = self.agents.get(process)
         return view is None or now > surely_over(view.heard_at, self._lease_s)
 
-    def reachable(self, now: float) -> list[AgentView]:
-        """Agents heard of lately that have an endpoint."""
-        return [a for a in self.agents.values() if a.is_fresh(now) and a.state is not None]
+    def is_reachable(self, now: float) -> bool:
+        """Whether any agent with an endpoint was heard of lately."""
+        return any(agent.is_fresh(now) and agent.state is not None for agent in self._order)
+
+    def _some(self) -> list[AgentView]:
+        if len(self._order) <= LOOKED_AT:
+            return self._order
+        return self._rng.sample(self._order, LOOKED_AT)
 
     def serving(self, service: str, now: float) -> list[AgentView]:
-        """Reachable agents that start runs of a service."""
+        """Agents, of many a sample, that were heard of lately and start runs of a service."""
         return [
             agent
-            for agent in self.reachable(now)
-            if agent.state is not None and agent.state.accepting and agent.state.service == service
+            for agent in self._some()
+            if agent.state is not None
+            and agent.is_fresh(now)
+            and agent.state.accepting
+            and agent.state.service == service
         ]
 
     def willing(self, service: str, now: float) -> list[AgentView]:
         """Agents that serve a service and have not just refused a run."""
         return [agent for agent in self.serving(service, now) if now >= agent.failed_until]
 
-    def capacity(self, service: str, now: float) -> Room:
-        """Room of all endpoints that serve a service."""
-        total = NO_ROOM
-        for agent in self.serving(service, now):
-            total = total.plus(_capacity_of(agent))
-        return total
+    def capacity_cpu(self, service: str, now: float) -> float:
+        """Cores of all endpoints that serve a service, extrapolated when there are many."""
+        serving = self.serving(service, now)
+        looked_at = max(1, min(len(self._order), LOOKED_AT))
+        return sum(_capacity_of(a).cpu for a in serving) / 1000 * len(self._order) / looked_at
 
     def choose(self, wish: Wish, serving: Iterable[AgentView]) -> AgentView | None:
         """The best of some serving agents for a task; None when none has room for it."""
--- a/tests/test_leased_parts.py
+++ b/tests/test_leased_parts.py
@@ -9,7 +9,7 @@
 
 from gentianmux.leased.admission import DECIDE_SHARE, decide, urgency
 from gentianmux.leased.chain import CHAIN_S, AgentSide, surely_over
-from gentianmux.leased.fleet_view import FleetView, Wish
+from gentianmux.leased.fleet_view import LOOKED_AT, FleetView, Wish
 from gentianmux.leased.health import FAILED_IN_A_ROW, EndpointHealth
 from gentianmux.leased.job_state import JobState, Phase
 from gentianmux.leased.model import How, JobSpec, QueueRules, StepSpec
@@ -195,3 +195,12 @@
     for ratio in deque([9.0] * 8 + [1.5] * 8):
         health.ended("j", False, ratio, 1.0)
     assert health.slowness() == pytest.approx(1.5)
+
+
+def test_a_round_of_placing_looks_at_the_same_number_of_agents_however_many_there_are() -> None:
+    view = fleet(1.0, {f"a{number}": 4000 for number in range(3000)})
+    assert len(view.willing("s", 1.0)) == LOOKED_AT
+    assert view.capacity_cpu("s", 1.0) == pytest.approx(3000 * 16.0)
+    view.forget("a7.1")
+    assert "a7.1" not in view.agents
+    assert view.capacity_cpu("s", 1.0) == pytest.approx(2999 * 16.0)
