Withdrawals lost with a connection are made up for when it opens again

Cause, found by reading: a caller's connection and one between processes reset at the same moment lost the withdrawal of the job's runs; the agent's lease chain went on, and the caller's next try, 1.3 s later, began its tasks beside them. Change: an agent says what it holds when a connection opens; what the entry no longer wants is withdrawn.

--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -358,6 +358,10 @@
         ]
         if missing:
             self._clock.later(SETTLE_S, self._end_missing, agent, missing)
+        # A withdrawal may have been lost with the connection, and its job be at work elsewhere.
+        unwanted = [ref for ref in msg.runs if (ref.task, ref.run) not in self._out[agent]]
+        if unwanted:
+            self._links.send(agent, Withdraw(unwanted))
 
     @on_message.register
     def _(self, msg: SharedConfig, agent: str) -> None:
