A step that fails is logged and repeated; a seed of the same role is not kept connected

Cause, found by reading: an error in one turn of a loop would have ended that loop for good, and left a process that no longer checks deadlines, leases or reports. Not seen in any log. Change: the loop logs the error and goes on. Connections to the same role are closed at the greeting.

--- a/src/gentianmux/clock.py
+++ b/src/gentianmux/clock.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import gevent
+from loguru import logger
+
+from .codes import ResultCode
 
 
 class Clock:
@@ -35,7 +38,14 @@
 
 
 def repeat(period_s: float, call: Callable[[], None]) -> None:
-    """Call for ever, with a pause in seconds before each call."""
+    """Call for ever, with a pause in seconds before each call.
+
+    A call that fails is logged and the next one made: a process whose deadlines, leases or reports
+    have silently stopped is worse than one that has ended.
+    """
     while True:
         gevent.sleep(period_s)
-        call()
+        try:
+            call()
+        except Exception:
+            logger.bind(code=int(ResultCode.INTERNAL)).exception("a repeated step failed")
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -220,10 +220,12 @@
         return [gevent.spawn(self._run_looks), *every]
 
     def _run_looks(self) -> None:
-        while True:
-            self._attached.wait()
-            if not self.look():
-                gevent.sleep(SILENCE_PAUSE_S)
+        repeat(0.0, self._look_or_pause)
+
+    def _look_or_pause(self) -> None:
+        self._attached.wait()
+        if not self.look():
+            gevent.sleep(SILENCE_PAUSE_S)
 
     def look(self) -> bool:
         """Look at the endpoint once, renewing its lease; false when it did not answer."""
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -138,6 +138,11 @@
             self._metrics.count("links_refused", label=type(exc).__name__)
             sock.close()
             return
+        if hello.role == self._me.role:
+            # A seed of the same role: there is nothing to say.
+            self._metrics.count("links_refused", label="same_role")
+            sock.close()
+            return
         conn = Conn(hello.process, hello.address)
         conn.sock = sock
         self._register(hello, conn)
