--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -436,16 +436,12 @@
         self._chain.echoed(entry, msg.number)
         self._reports.hunger(entry, msg.hungry)
         if msg.config_version < self._feed.version:
-            self._share_config(entry)
+            self._feed.share(self._links, entry)
 
     @on_message.register
     def _(self, msg: SharedConfig, entry: str) -> None:
         self._feed.offered(msg.body, f"entry {entry}")
 
-    def _share_config(self, entry: str) -> None:
-        if self._feed.current is not None:
-            self._links.send(entry, SharedConfig(self._feed.version, self._feed.current.raw))
-
     def _stop(self, key: RunKey, why: How, reason: str) -> None:
         if self.table.want_stopped(key, why):
             self._metrics.count("runs_stopped", label=why.name.lower())
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -8,7 +8,9 @@
 from ..clock import Clock
 from ..errors import GentianmuxError, LogError
 from ..memory_log import KeyedLog
+from ..messages import SharedConfig
 from ..metrics import Metrics
+from .links import Links
 from .model import JobConfig
 
 WATCH_S = 5.0
@@ -83,6 +85,11 @@
         self._metrics.gauge("config_version", config.version)
         self.on_change(config)
 
+    def share(self, links: Links, process: str) -> None:
+        """Send a peer the configuration in force, if there is one."""
+        if self.current is not None:
+            links.send(process, SharedConfig(self.version, self.current.raw))
+
     def run(self) -> None:
         """Follow the store for as long as the process lives."""
         offset: int | None = None
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -318,7 +318,7 @@
         view = self._view.of(agent)
         view.take_load(msg, self._clock.now())
         if msg.config_version < self._feed.version:
-            self._share_config(agent)
+            self._feed.share(self._links, agent)
         if self._backlog:
             self._place_soon()
         elif view.told_hungry:
@@ -367,10 +367,6 @@
     def _(self, msg: SharedConfig, agent: str) -> None:
         self._feed.offered(msg.body, f"agent {agent}")
 
-    def _share_config(self, agent: str) -> None:
-        if self._feed.current is not None:
-            self._links.send(agent, SharedConfig(self._feed.version, self._feed.current.raw))
-
     def _end_missing(self, agent: str, missing: list[tuple[str, int]]) -> None:
         """End runs that an agent neither holds nor has ended: they never reached it."""
         for name, run in missing:
@@ -398,8 +394,7 @@
 
     def _on_open(self, hello: Hello) -> None:
         self._opened_at[hello.process] = self._clock.now()
-        if hello.role == "agent" and self._feed.current is not None:
-            self._share_config(hello.process)
+        self._feed.share(self._links, hello.process)
 
     def _on_close(self, agent: str) -> None:
         """Keep what the agent holds until it is surely over: it may connect again."""
