--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -416,7 +416,7 @@
         self.frames = 0
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
-        self._alive: set[str] = set()
+        self.alive: set[str] = set()
         self._due: list[tuple[float, int, str, Callable[..., Any], tuple[Any, ...]]] = []
         self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = defaultdict(list)
         self._count = 0
@@ -457,7 +457,7 @@
         end = self.time + seconds
         while self._due and self._due[0][0] <= end:
             self.time, _, process, call, args = heapq.heappop(self._due)
-            if process and process not in self._alive:
+            if process and process not in self.alive:
                 continue
             if process in self.frozen:
                 self._held[process].append((call, args))
@@ -479,7 +479,7 @@
         driver = FakeDriver(self, machine)
         agent = Agent(cfg, driver, links, self._feed(clock), metrics, clock)  # type: ignore[arg-type]
         machine.agent, machine.links = agent, links
-        self._alive.add(me.process)
+        self.alive.add(me.process)
         self.every(REPORT_S, me.process, agent.send_load)
         self.every(0.05, me.process, agent.check_chains)
         self.every(0.1, me.process, agent.repeat_stops)
@@ -503,7 +503,7 @@
         entry = Entry(cfg, view, links, feed, metrics, clock)  # type: ignore[arg-type]
         entry.entries = max(1, len(self.entries))
         node.entry, node.links, node.view = entry, links, view
-        self._alive.add(me.process)
+        self.alive.add(me.process)
         self.every(STEP_S, me.process, entry.step)
         self.every(ECHO_S, me.process, entry.echo)
 
@@ -515,7 +515,7 @@
 
     def kill(self, process: str) -> None:
         """End a process at once."""
-        self._alive.discard(process)
+        self.alive.discard(process)
         for links in self._links():
             if links.me.process == process:
                 for peer in list(links.open):
@@ -563,7 +563,7 @@
 
     def _open(self, agent: FakeLinks, entry: FakeLinks) -> None:
         pair = (agent.me.process, entry.me.process)
-        reachable = self._alive.issuperset(pair) and not self.frozen.intersection(pair)
+        reachable = self.alive.issuperset(pair) and not self.frozen.intersection(pair)
         if not reachable or self.is_cut(*pair):
             return
         if agent.open.get(pair[1]) is not None and entry.open.get(pair[0]) is not None:
@@ -611,7 +611,7 @@
     def _heartbeats(self) -> None:
         self.at(0.5, "", self._heartbeats)
         for machine in self.machines.values():
-            agent_lives = self.process_of(machine.name) in self._alive
+            agent_lives = self.process_of(machine.name) in self.alive
             endpoint = machine.endpoint
             frozen = self.process_of(machine.name) in self.frozen
             if machine.agent is None or not agent_lives or not endpoint.up or frozen:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -184,3 +184,20 @@
     assert placed["load_age_ms"] < 1000
     assert ended["outcome"] == "completed"
     assert events[0]["event"] == "started"
+
+
+def test_slow_senders_are_cut_off_and_start_nothing(deployment: Deployment) -> None:
+    quick = CONFIG.replace("15000", "400").replace("3000", "400")
+    deployment.store.put("keyed.op", "config", (quick % 2).encode())
+    gevent.sleep(0.5)
+    target = (deployment.ip_of("front-0"), deployment.ports["front"])
+    body = job_body().encode()
+    head = f"POST /q/0000000000000151 HTTP/1.1\r\nHost: h.example\r\nContent-Length: {len(body)}"
+    with socket.create_connection(target, timeout=5) as sock:
+        sock.sendall(head.encode() + b"\r\n\r\n" + body[:20])
+        assert sock.recv(100).startswith(b"HTTP/1.1 408")
+    with socket.create_connection(target, timeout=5) as sock:
+        sock.sendall(head.encode()[:40])
+        assert b"200" not in sock.recv(100)
+    assert starts(deployment) == []
+    assert deployment.submit("0000000000000152", job_body()) == (200, COMPLETED)
