The view of the fleet no longer takes a failure domain that it never used

Its doc comment said that agents of the entry's own domain are preferred; nothing did so. No behaviour changes.

--- a/bench/leased_capacity.py
+++ b/bench/leased_capacity.py
@@ -24,7 +24,7 @@
 def fleet(agents: int) -> FleetView:
     """A view of agents with endpoints that are partly in use."""
     rng = Random(1)
-    view = FleetView(0.55, "fd1", rng)
+    view = FleetView(0.55, rng)
     for number in range(agents):
         agent = view.of(f"side-{number}.1764690000000")
         agent.state = EndpointState(
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -497,7 +497,7 @@
         me = Hello(PROTOCOL_VERSION, f"{name}.{node.lives}", "entry", f"{name}:1")
         clock = FakeClock(self, me.process)
         links = FakeLinks(self, me)
-        view = FleetView(lease_s(cfg), node.domain, Random(me.process))
+        view = FleetView(lease_s(cfg), Random(me.process))
         metrics = Metrics(Settings())
         feed = self._feed(clock)
         entry = Entry(cfg, view, links, feed, metrics, clock)  # type: ignore[arg-type]
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -84,17 +84,14 @@
     ----------
     lease_s : float
         The lease that agents ask of endpoints, in seconds.
-    failure_domain : str
-        The entry's own; agents there are preferred among equals.
     rng : Random
         Breaks ties, so that entries do not all choose the same agent.
     """
 
-    def __init__(self, lease_s: float, failure_domain: str, rng: Random) -> None:
+    def __init__(self, lease_s: float, rng: Random) -> None:
         self.agents: dict[str, AgentView] = {}
         self._order: list[AgentView] = []
         self._lease_s = lease_s
-        self._failure_domain = failure_domain
         self._rng = rng
 
     def of(self, process: str) -> AgentView:
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -162,7 +162,7 @@
         Set when the process is to end.
     """
     cfg = base.cfg
-    view = FleetView(lease_s(cfg), cfg.failure_domain, Random(base.me.process))
+    view = FleetView(lease_s(cfg), Random(base.me.process))
     entry = Entry(cfg, view, base.links, base.feed, base.metrics, base.clock)
     agents = Directory(base.store, "entries", "agents", base.metrics)
     agents.on_found = lambda found: base.links.dial(found.address, PATIENCE_S)
--- a/tests/test_leased_parts.py
+++ b/tests/test_leased_parts.py
@@ -102,7 +102,7 @@
 
 
 def fleet(now: float, frees: dict[str, int], slowness: dict[str, int] | None = None) -> FleetView:
-    view = FleetView(0.55, "fd1", Random(1))
+    view = FleetView(0.55, Random(1))
     for name, cpu in frees.items():
         agent = view.of(f"{name}.1")
         agent.state = EndpointState(f"{name}-x", "s", "fd1", 16000, 999, 0, ["a"], True)
