Connections that go silent for good, and late heartbeats of an ended life

Cause, from the users' news and by reading: (1) a heartbeat that arrives after its sender has crashed made the agent attach to the ended life; what the present life runs was declared lost and given to another endpoint while it still ran. (2) A connection that goes silent without a reset was noticed after 1 s; the lease chain of 0.4 s had stopped every run by then, and orders went on into silent connections one after another. Ruled out: sequence numbers cannot tell lives apart; a shorter SILENT_S alone loses the runs all the same. Change: a heartbeat of another life counts only when that life answers a probe. An agent whose reports are not echoed for 0.22 s opens a second connection beside the first, whose first report is echoed at once. Looks and orders have connections of their own (2 and 3), so that orders without answers hold up no renewal. Agents say how many entries share them, so that an entry that is gone no longer takes part in the share of the pool.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -13,7 +13,7 @@
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
 from gentianmux.leased.entry import STEP_S, Entry, Ticket
 from gentianmux.leased.fleet_view import FleetView
-from gentianmux.leased.links import SILENT_S, node_of
+from gentianmux.leased.links import RENEW_AGAIN_S, SILENT_S, node_of
 from gentianmux.leased.model import (
     ActiveRun,
     EndedRow,
@@ -192,6 +192,12 @@
         self._endpoint = now_there if now_there.name == report.endpoint else None
         self._fence = 0
 
+    def is_present(self, report: EndpointReport) -> bool | None:
+        endpoint = self._machine.endpoint
+        if endpoint.silent or not endpoint.up:
+            return None
+        return endpoint.name == report.endpoint
+
     def lease_end(self) -> float:
         return self._lease_end
 
@@ -305,6 +311,7 @@
         self.me = me
         self.open: dict[str, int] = {}
         self.heard: dict[str, float] = {}
+        self.renewed: dict[str, float] = {}
         self._world = world
 
     def processes(self) -> list[str]:
@@ -328,6 +335,13 @@
             if self._world.time - self.heard[process] > SILENT_S:
                 self.close(process)
 
+    def renew(self, process: str) -> None:
+        """Replace a connection, at most once in ``RENEW_AGAIN_S``."""
+        now = self._world.time
+        if now - self.renewed.get(process, -RENEW_AGAIN_S) >= RENEW_AGAIN_S:
+            self.renewed[process] = now
+            self._world.at(3 * ONE_WAY_S, "", self._world.reopen, self.me.process, process)
+
     def close(self, process: str) -> None:
         if self.open.pop(process, None) is not None:
             self.on_close(process)
@@ -416,6 +430,7 @@
         self.frames = 0
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
+        self.silent_links: set[int] = set()
         self.alive: set[str] = set()
         self._due: list[tuple[float, int, str, Callable[..., Any], tuple[Any, ...]]] = []
         self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = defaultdict(list)
@@ -501,7 +516,6 @@
         metrics = Metrics(Settings())
         feed = self._feed(clock)
         entry = Entry(cfg, view, links, feed, metrics, clock)  # type: ignore[arg-type]
-        entry.entries = max(1, len(self.entries))
         node.entry, node.links, node.view = entry, links, view
         self.alive.add(me.process)
         self.every(STEP_S, me.process, entry.step)
@@ -568,6 +582,22 @@
             return
         if agent.open.get(pair[1]) is not None and entry.open.get(pair[0]) is not None:
             return
+        self._open_anew(agent, entry)
+
+    def reopen(self, agent: str, entry: str) -> None:
+        """Open another connection between two processes, in place of the one they have."""
+        links = {each.me.process: each for each in self._links()}
+        pair = (agent, entry)
+        reachable = self.alive.issuperset(pair) and not self.frozen.intersection(pair)
+        if reachable and links.keys() >= set(pair) and not self.is_cut(*pair):
+            self._open_anew(links[agent], links[entry])
+
+    def silence_connections(self) -> None:
+        """Let every open connection go silent for good; new ones work."""
+        for links in self._links():
+            self.silent_links.update(links.open.values())
+
+    def _open_anew(self, agent: FakeLinks, entry: FakeLinks) -> None:
         self._count += 1
         for mine, other in ((agent, entry), (entry, agent)):
             for process in list(mine.open):
@@ -601,6 +631,8 @@
 
     def carry(self, sender: str, receiver: str, link: int, msg: Message) -> None:
         """Take a frame to a process; one that is cut off by then is kept and sent again."""
+        if link in self.silent_links:
+            return
         if self.is_cut(sender, receiver):
             self.at(0.2, "", self.carry, sender, receiver, link, msg)
             return
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -78,6 +78,10 @@
 MOVE_ON_DRAIN_S = 0.3
 """Seconds that a run may exceed what a draining endpoint has left before it is moved."""
 
+PROBES = 3
+"""Times that an endpoint is asked whether a heartbeat of another life is its own; a third of the
+answers may be lost, and the next heartbeat is seconds away."""
+
 _NOT_RUN = {
     StartVerdict.OLD_RUN: How.OLD_RUN,
     StartVerdict.NO_ROOM: How.NO_ROOM,
@@ -162,11 +166,32 @@
                 self.on_endpoint(report)
             if report.draining:
                 self._move_what_cannot_end(report.drain_remaining_s)
+        elif self._is_stale(report):
+            return
         else:
             self._attach(report)
         self._tell_state()
         self._reports.load_soon()
 
+    def _is_stale(self, report: EndpointReport) -> bool:
+        """Whether a heartbeat of another life is late: its sender has ended.
+
+        Attaching to it would declare lost what the present life runs, and another endpoint would
+        be given the same tasks.
+        """
+        known = self.report
+        if known is None:
+            return False
+        life = self._life
+        answers = (self._driver.is_present(report) for _ in range(PROBES))
+        present = next((answer for answer in answers if answer is not None), None)
+        if present and life == self._life:
+            return False
+        logger.bind(endpoint=report.endpoint, present=known.endpoint, answered=present).info(
+            "heartbeat of another life ignored"
+        )
+        return True
+
     def _attach(self, report: EndpointReport) -> None:
         logger.bind(endpoint=report.endpoint, capacity=report.capacity).info("endpoint found")
         self._end_all(self.table.lose_all())
@@ -469,6 +494,9 @@
             if not self._chain.holds(run.entry, now):
                 self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
         self._stop_due()
+        for entry in self._links.processes():
+            if self._chain.is_quiet(entry, now):
+                self._links.renew(entry)
         self._reports.forget_silent(now)
         self._links.close_silent()
 
--- a/src/gentianmux/leased/chain.py
+++ b/src/gentianmux/leased/chain.py
@@ -15,6 +15,10 @@
 ECHO_S = 0.1
 """Seconds between echoes, a quarter of the chain, so that one lost turn breaks nothing."""
 
+QUIET_S = 0.22
+"""Seconds since the newest report that was echoed was sent, after which the connection is doubted:
+two echoes have not come, and the rest of the chain is enough for a new connection."""
+
 CLOCK_DRIFT = 1.02
 """Factor; an endpoint's clock may run 2 % slow."""
 
@@ -58,6 +62,14 @@
         """Whether an entry's runs may go on, and new ones may begin."""
         return now < self._until.get(entry, 0.0)
 
+    def holding(self, now: float) -> int:
+        """How many entries' leases hold."""
+        return sum(1 for until in self._until.values() if now < until)
+
+    def is_quiet(self, entry: str, now: float) -> bool:
+        """Whether no echo of a report of the last ``QUIET_S`` has come."""
+        return now > self._until.get(entry, now + CHAIN_S) - CHAIN_S + QUIET_S
+
     def forget(self, entry: str) -> None:
         """Drop what is known of an entry that has ended."""
         self._until.pop(entry, None)
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -120,12 +120,12 @@
         self._metrics = metrics
         self._clock = clock
         self.jobs: dict[str, Ticket] = {}
-        self.entries = 1
         self.leaving = False
         self._leaves_at = float("inf")
         self._backlog: dict[str, JobState] = {}
         self._out: dict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
         self._opened_at: dict[str, float] = {}
+        self._echo_at_once: set[str] = set()
         self._placing = False
         self._hunger_told_at = 0.0
         self._no_agent_since: dict[str, float] = {}
@@ -319,6 +319,10 @@
         view.take_load(msg, self._clock.now())
         if msg.config_version < self._feed.version:
             self._feed.share(self._links, agent)
+        if agent in self._echo_at_once:
+            # The connection may have taken the place of a silent one, and the chain be nearly over.
+            self._echo_at_once.discard(agent)
+            self._echo(view, bool(self._backlog))
         if self._backlog:
             self._place_soon()
         elif view.told_hungry:
@@ -394,6 +398,7 @@
 
     def _on_open(self, hello: Hello) -> None:
         self._opened_at[hello.process] = self._clock.now()
+        self._echo_at_once.add(hello.process)
         self._feed.share(self._links, hello.process)
 
     def _on_close(self, agent: str) -> None:
@@ -469,11 +474,12 @@
 
     def _decide(self, now: float) -> None:
         """Refuse early what cannot be in time, and what no agent can serve."""
+        entries = max(1, self._view.entries(now))
         by_service: dict[str, list[JobState]] = defaultdict(list)
         for job in sorted(self._backlog.values(), key=urgency):
             by_service[job.queue.service].append(job)
         for service, jobs in by_service.items():
-            capacity = self._view.capacity_cpu(service, now) / max(1, self.entries)
+            capacity = self._view.capacity_cpu(service, now) / entries
             if not capacity:
                 self._refuse_without_agents(service, jobs, now)
                 continue
@@ -488,7 +494,7 @@
                     capacity_cpu=round(load.capacity_cpu, 1),
                     begins_in_ms=round(wait_s(load) * 1000),
                     slack_ms=round((job.latest_start - now) * 1000),
-                    entries=self.entries,
+                    entries=entries,
                 ).info("refusal decided")
                 self._give_up(job, "cannot be in time")
 
--- a/src/gentianmux/leased/entry_reports.py
+++ b/src/gentianmux/leased/entry_reports.py
@@ -119,10 +119,17 @@
         self._number += 1
         self.chain.sent(self._number, self._clock.now())
         load = self._load()
+        sharing = self.chain.holding(self._clock.now())
         for entry in entries:
-            applied = self.applied.get(entry, 0)
             msg = AgentLoad(
-                self._number, applied, *load.offered, load.slowness_percent, load.config_version
+                number=self._number,
+                applied=self.applied.get(entry, 0),
+                cpu=load.offered.cpu,
+                mem_mb=load.offered.mem_mb,
+                gpu=load.offered.gpu,
+                slowness_percent=load.slowness_percent,
+                config_version=load.config_version,
+                entries=sharing,
             )
             self._links.send(entry, msg)
 
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -37,6 +37,7 @@
     pending: dict[int, Room] = field(default_factory=dict)
     failed_until: float = 0.0
     told_hungry: bool = False
+    entries: int = 1
 
     @property
     def free(self) -> Room:
@@ -54,6 +55,7 @@
         self.newest_load = load.number
         self.offered = Room(load.cpu, load.mem_mb, load.gpu)
         self.slowness = load.slowness_percent / 100
+        self.entries = load.entries
         for number in [number for number in self.pending if number <= load.applied]:
             del self.pending[number]
 
@@ -141,6 +143,10 @@
         looked_at = max(1, min(len(self._order), LOOKED_AT))
         return sum(_capacity_of(a).cpu for a in serving) / 1000 * len(self._order) / looked_at
 
+    def entries(self, now: float) -> int:
+        """How many entries share the agents, this one included."""
+        return max((agent.entries for agent in self._some() if agent.is_fresh(now)), default=1)
+
     def choose(self, wish: Wish, serving: Iterable[AgentView]) -> AgentView | None:
         """The best of some serving agents for a task; None when none has room for it."""
         agents = list(serving)
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -34,7 +34,10 @@
 """Seconds between tries at an address that has not answered for long."""
 
 SILENT_S = 1.0
-"""Seconds without a frame, ten reports or echoes, after which a connection is opened anew."""
+"""Seconds without a frame, ten reports or echoes, after which a connection is given up."""
+
+RENEW_AGAIN_S = 0.3
+"""Seconds between tries to replace a connection on which nothing gets through."""
 
 
 def node_of(process: str) -> str:
@@ -72,6 +75,7 @@
         self._open: dict[str, Conn] = {}
         self._heard: dict[str, float] = {}
         self._dialing: set[str] = set()
+        self._renewed: dict[str, float] = {}
         ip, _, port = cfg.peer_address.partition(":")
         self._server = StreamServer((ip, int(port)), self._serve)
 
@@ -115,6 +119,20 @@
             gevent.sleep(wait_s)
             wait_s = min(SLOWEST_REDIAL_S, wait_s * 1.5)
 
+    def renew(self, process: str) -> None:
+        """Open another connection beside one on which nothing gets through, to replace it.
+
+        A connection may go silent for good while new ones work. Only one side may do this: two
+        that cross would each replace the other's.
+        """
+        conn = self._open.get(process)
+        now = self._clock.now()
+        if conn is None or now - self._renewed.get(process, -RENEW_AGAIN_S) < RENEW_AGAIN_S:
+            return
+        self._renewed[process] = now
+        self._metrics.count("links_renewed")
+        gevent.spawn(self._run_dialed, conn.address)
+
     def _run_dialed(self, address: str) -> None:
         ip, _, port = address.partition(":")
         try:
@@ -188,6 +206,7 @@
     def _lose(self, conn: Conn, reason: str) -> None:
         if self._open.get(conn.process) is conn:
             del self._open[conn.process]
+            self._renewed.pop(conn.process, None)
             logger.bind(peer=conn.process, reason=reason).warning("peer lost")
             self.on_close(conn.process)
 
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -184,6 +184,13 @@
         """Turn to the endpoint that a heartbeat came from, and fence off earlier agents."""
         ...
 
+    def is_present(self, report: EndpointReport) -> bool | None:
+        """Whether the life that a heartbeat came from is the one at work; None when unanswered.
+
+        May be asked while the driver is attached to another life, and changes nothing there.
+        """
+        ...
+
     def start(self, task: str, run: int, payload: str, lease_s: float) -> StartVerdict:
         """Start a run under a lease; never raises."""
         ...
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -395,7 +395,10 @@
 
 
 class AgentLoad(NamedTuple):
-    """An agent's numbered load report: the room it offers, after assignment ``applied``."""
+    """An agent's numbered load report: the room it offers, after assignment ``applied``.
+
+    ``entries`` is how many entries share the agent at present.
+    """
 
     number: int
     applied: int
@@ -404,6 +407,7 @@
     gpu: int
     slowness_percent: int
     config_version: int
+    entries: int
 
 
 class LoadEcho(NamedTuple):
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -55,6 +55,9 @@
     "starts_unanswered": Metric("counter", "starts", "Starts that the endpoint did not answer."),
     "endpoint_silences": Metric("counter", "calls", "Looks that the endpoint did not answer."),
     "link_dials_failed": Metric("counter", "dials", "Connections to peers that failed, by error."),
+    "links_renewed": Metric(
+        "counter", "links", "Connections opened to replace one that had gone silent."
+    ),
     "links_refused": Metric("counter", "links", "Connections without a usable hello, by error."),
     "config_version": Metric("gauge", "version", "Version of the configuration in force."),
     "configs_unreadable": Metric("counter", "configs", "Configurations that cannot be read."),
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -24,8 +24,16 @@
 """Seconds for the answer to a start or stop; it takes some 2 ms, and 15 on a slowed machine. One
 that is late only costs a look, since what the endpoint lists decides."""
 
-CONNECTIONS = 24
-"""Calls to the endpoint at once: a look, and starts and stops of a burst."""
+LOOKS = 2
+"""Looks at once: one that waits for an end, and one that does not wait."""
+
+ORDERS = 3
+"""Starts and stops at once, apart from looks, so that orders without answers hold up no renewal.
+More gain nothing, as an order takes 2 ms of the agent's processor, and connections are paid for:
+with 24 for all calls each agent opened 9 on a quiet day."""
+
+EXPECT_INSTANCE = "Gentianmux-Expect-Instance"
+"""Header that names the life of the endpoint a call is meant for."""
 
 REPLACED = 421
 """Status by which another life of the endpoint answers."""
@@ -74,7 +82,8 @@
     """
 
     def __init__(self, address: str, stop_s: float) -> None:
-        self._http = HttpCaller(address, CONNECTIONS)
+        self._looks = HttpCaller(address, LOOKS)
+        self._orders = HttpCaller(address, ORDERS)
         self._stop_s = stop_s
         self._headers: dict[str, str] = {}
         self._fence = 0
@@ -84,11 +93,22 @@
 
     def attach(self, report: EndpointReport) -> None:
         """Turn to another life of the endpoint; the first look fixes a new fence."""
-        self._headers = {"Gentianmux-Expect-Instance": report.endpoint}
+        self._headers = {EXPECT_INSTANCE: report.endpoint}
         self._fence = 0
         self._clock_ms = 0.0
         self._lease_end = 0.0
 
+    def is_present(self, report: EndpointReport) -> bool | None:
+        """Whether the life that a heartbeat came from is the one that answers."""
+        headers = {EXPECT_INSTANCE: report.endpoint}
+        body = json.dumps({"fence": 0, "acknowledged": 0, "wait_ms": 0}).encode()
+        try:
+            # Without a fence it is refused or does nothing; only who answers counts.
+            return self._looks.call("POST", "/v1/hold", body, START_S, headers).status != REPLACED
+        except NoAnswer as exc:
+            logger.bind(endpoint=report.endpoint, reason=str(exc)).info("no answer to a probe")
+            return None
+
     def lease_end(self) -> float:
         """When every lease ever asked for has run out, on the monotonic clock."""
         return self._lease_end
@@ -97,7 +117,7 @@
         """Start a run under a lease."""
         content = {"task": task, "run": run, "spec": payload, "until_ms": self._until(lease_s)}
         try:
-            reply = self._call("/v1/run-start", content, START_S)
+            reply = self._call(self._orders, "/v1/run-start", content, START_S)
             if reply.status == 200:
                 return StartVerdict.STARTED
             if reply.status == REPLACED:
@@ -118,7 +138,8 @@
     def stop(self, task: str, run: int) -> bool:
         """Stop a run, present or still on its way; whether the endpoint confirmed it."""
         try:
-            reply = self._call("/v1/run-stop", {"task": task, "run": run}, START_S)
+            content = {"task": task, "run": run}
+            reply = self._call(self._orders, "/v1/run-stop", content, START_S)
         except NoAnswer:
             return False
         return reply.status in (200, REPLACED)
@@ -131,7 +152,7 @@
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
         if lease_s:
             content["until_ms"] = self._until(lease_s)
-        reply = self._call("/v1/hold", content, timeout_s)
+        reply = self._call(self._looks, "/v1/hold", content, timeout_s)
         if reply.status == REPLACED:
             raise EndpointGone
         if reply.status == 409:
@@ -147,7 +168,8 @@
         It rises through one life of the endpoint, so orders of earlier agents, even those
         carried out late, are refused from the next call on.
         """
-        reply = self._call("/v1/hold", {"acknowledged": 0, "wait_ms": 0}, START_S)
+        content = {"acknowledged": 0, "wait_ms": 0}
+        reply = self._call(self._looks, "/v1/hold", content, START_S)
         if reply.status == REPLACED:
             raise EndpointGone
         if not self._clock_ms:
@@ -159,9 +181,11 @@
         self._lease_end = max(self._lease_end, now + lease_s * CLOCK_DRIFT + self._stop_s)
         return int(self._clock_ms + (now - self._clock_at) * 1000 + lease_s * 1000)
 
-    def _call(self, path: str, content: dict[str, Any], timeout_s: float) -> HttpReply:
+    def _call(
+        self, caller: HttpCaller, path: str, content: dict[str, Any], timeout_s: float
+    ) -> HttpReply:
         body = json.dumps({**content, "fence": self._fence}).encode()
-        reply = self._http.call("POST", path, body, timeout_s, self._headers)
+        reply = caller.call("POST", path, body, timeout_s, self._headers)
         if reply.body and reply.status != REPLACED:
             clock_ms = reply.json().get("clock_ms")
             if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
--- a/src/gentianmux/platform/store.py
+++ b/src/gentianmux/platform/store.py
@@ -17,8 +17,12 @@
 """Seconds for one call; the store answers within some 20 ms when it is well, and 50 times slower
 at its slowest, which this still allows."""
 
-CONNECTIONS = 4
-"""Two reads that wait for changes, one for the configuration, and one write."""
+CONNECTIONS = 3
+"""Two reads that wait for changes, and one write."""
+
+WATCH_SPARE_S = 0.6
+"""Seconds beyond its wait that a read for changes may take: three times the slowest answer of the
+store, and soon enough to notice a connection that went silent."""
 
 PARTITION = 0
 """Keyed topics of this product have one partition: a record an instance and some changes a day."""
@@ -77,7 +81,7 @@
     def changes(self, topic: str, offset: int, wait_s: float) -> Changes:
         """Read what came from an offset on, waiting up to ``wait_s`` for something to come."""
         query = {**_partition(topic), "from": offset, "wait_ms": int(wait_s * 1000)}
-        reply = self._call("GET", "/v1/log-read", query, timeout_s=wait_s + CALL_S)
+        reply = self._call("GET", "/v1/log-read", query, timeout_s=wait_s + WATCH_SPARE_S)
         try:
             # The end of the partition, not of what this answer holds.
             _end, _first = _OFFSETS.unpack_from(reply.body)
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -293,6 +293,7 @@
   gpu @4 :Int64;
   slownessPercent @5 :Int64;
   configVersion @6 :Int64;
+  entries @7 :Int64;
 }
 
 struct LoadEcho {
--- a/tests/test_leased_parts.py
+++ b/tests/test_leased_parts.py
@@ -106,7 +106,7 @@
     for name, cpu in frees.items():
         agent = view.of(f"{name}.1")
         agent.state = EndpointState(f"{name}-x", "s", "fd1", 16000, 999, 0, ["a"], True)
-        load = AgentLoad(1, 0, cpu, 999, 0, (slowness or {}).get(name, 100), 1)
+        load = AgentLoad(1, 0, cpu, 999, 0, (slowness or {}).get(name, 100), 1, 1)
         agent.take_load(load, now)
     return view
 
@@ -128,7 +128,7 @@
     agent = view.of("a.1")
     agent.pending[1] = Room(1600, 64)
     assert view.choose(Wish("s", Room(1600, 64)), view.willing("s", 1.0)) is None
-    agent.take_load(AgentLoad(2, 1, 3000, 999, 0, 100, 1), 1.1)
+    agent.take_load(AgentLoad(2, 1, 3000, 999, 0, 100, 1, 1), 1.1)
     assert view.choose(Wish("s", Room(1600, 64)), view.willing("s", 1.1)) is agent
 
 
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -7,7 +7,7 @@
 
 from bench.leased_world import ENDPOINT_ROOM, QUEUE, Asked, World
 from gentianmux.leased.job_state import Outcome
-from gentianmux.leased.model import EndedRow, HoldReply, How
+from gentianmux.leased.model import EndedRow, EndpointReport, HoldReply, How
 from gentianmux.leased.room import Room
 from gentianmux.messages import Assign, LeasedTask, RunRef, Withdraw
 
@@ -284,9 +284,20 @@
         endpoint.speed = rng.choice([0.0, 0.2, 1.0, 1.0])
     elif what == 11:
         sizes = [ENDPOINT_ROOM, Room(8000, 2048, 0)]
+        late = world.report_of(machine)
         world.replace_endpoint(machine.name, rng.choice(sizes))
+        world.at(rng.uniform(0.1, 4.0), "", _report_late, world, machine.name, late)
     elif what == 12:
         _break_callers(world, rng, entry, machine.name)
+    elif what == 13:
+        world.silence_connections()
+
+
+def _report_late(world: World, name: str, report: EndpointReport) -> None:
+    """Let a heartbeat of an ended life arrive, unless nobody is there to take it."""
+    agent = world.machines[name].agent
+    if agent is not None and world.process_of(name) in world.alive - world.frozen:
+        agent.on_report(report)
 
 
 def _open_jobs(world: World, entry: str) -> list[Asked]:
@@ -460,3 +471,46 @@
     world.run(5.0)
     assert outcome(again) is Outcome.COMPLETED
     assert_kept(world)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_late_heartbeat_of_an_ended_life_loses_no_run(restarted: bool) -> None:
+    world = ready_world()
+    machine = world.machines["w0"]
+    late = world.report_of(machine)
+    world.replace_endpoint("w0")
+    if restarted:
+        world.kill(world.process_of("w0"))
+        world.start_agent("w0")
+    world.run(1.5)
+    jobs = [world.submit("e0", tasks=9, run_s=1.0) for _ in range(3)]
+    world.run(0.4)
+    assert machine.endpoint.active
+    assert machine.agent is not None
+    machine.agent.on_report(late)
+    world.run(3.0)
+    assert [outcome(job) for job in jobs] == [Outcome.COMPLETED] * 3
+    assert world.starts == 27
+    assert_kept(world)
+
+
+def test_connections_that_go_silent_for_good_cost_no_run() -> None:
+    world = ready_world(agents=4, entries=2)
+    for at in range(5):
+        world.at(0.37 * at + 0.2, "", world.silence_connections)
+    jobs = [world.submit(f"e{number % 2}", tasks=4, run_s=1.2) for number in range(6)]
+    world.run(4.0)
+    assert [outcome(job) for job in jobs] == [Outcome.COMPLETED] * 6
+    assert max(job.ended_at - job.at for job in jobs) < 1.4
+    assert world.wasted_runs == 0
+    assert_kept(world)
+
+
+def test_an_entry_that_is_gone_no_longer_counts_when_the_pool_is_shared() -> None:
+    world = ready_world(agents=2, entries=3)
+    view = world.entries["e0"].view
+    assert view is not None
+    assert view.entries(world.time) == 3
+    world.kill(world.process_of("e2"))
+    world.run(1.0)
+    assert view.entries(world.time) == 2
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -255,6 +255,20 @@
         assert driver.start("t", 1, SPEC, 0.5) is StartVerdict.REPLACED
 
 
+def test_a_probe_tells_the_present_life_from_others_and_changes_nothing() -> None:
+    app = PlatformEndpointApp("i-2")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of("i-2"))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        fence = app.fence
+        assert driver.is_present(report_of("i-2")) is True
+        assert driver.is_present(report_of("i-1")) is False
+        assert driver.start("t", 1, SPEC, 0.5) is StartVerdict.STARTED
+        assert app.fence == fence
+    assert driver.is_present(report_of("i-2")) is None
+
+
 def test_leases_run_out_when_they_are_not_renewed() -> None:
     app = PlatformEndpointApp("i-1")
     with served(app) as address:
