Runs of the tests on processes beside each other no longer share addresses

Cause: addresses were told apart by the process id modulo 3; two runs of the whole suite at once met in one of three cases, and the second entry could not listen at the port of its metrics (seen once, traced by its log). Change: 250 networks.

--- a/tests/platform_nodes.py
+++ b/tests/platform_nodes.py
@@ -70,7 +70,8 @@
         """Loopback address of an instance; ports are the same on all of them."""
         kind, _, number = name.partition("-")
         base = 50 if kind == "front" else 100
-        return f"127.0.0.{base + int(number) + 10 * (os.getpid() % 3)}"
+        # Runs of the tests beside each other share neither addresses nor the port of metrics.
+        return f"127.0.{1 + os.getpid() % 250}.{base + int(number)}"
 
     def start(self, name: str, role: str) -> None:
         """Start a process with a settings file of its own."""
