Jobs are refused when overtaken work would make them late; a load model; priorities obeyed

Found with: bench/leased_load.py, which plays the deployments' kinds of jobs on virtual time. Ruled out in the model: an earlier or later decision (0.05 to 0.25 of the objective: no difference), longer estimates, small jobs first (worse for the worst kind), dividing the pool by the work that waits at each entry and offering room by it (no difference at even or uneven traffic; written, measured and reverted). Change: the work ahead counts four times. Queues' priorities order what has not begun.

--- /dev/null
+++ b/bench/leased_load.py
@@ -0,0 +1,300 @@
+"""Credit against load of the users' jobs, on virtual time: ``python -m bench.leased_load``.
+
+The real entries and agents run on fakes of the network and the endpoints. Jobs of three kinds come
+as the deployments describe them: widths, work, wrong estimates, unlike tasks, two kinds of
+endpoints, uneven entries, and a burst in the middle. The bound is one queue over all endpoints
+that knows every run time, takes no time to decide, and begins a job only when it will be in time.
+"""
+
+import argparse
+import heapq
+import json
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+from statistics import mean
+from typing import NamedTuple
+
+from loguru import logger
+
+from bench.leased_world import Asked, World
+from bench.processes import ROOT
+from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.model import QueueRules
+from gentianmux.leased.room import Room
+
+RESULT = ROOT / "bench" / "results" / "leased_load.json"
+AGENTS = 11
+ROOMS = (16000, 16000, 16000, 24000, 16000, 16000, 16000, 24000, 24000, 16000, 16000)
+SPEEDS = (1.0, 1.0, 1 / 1.3, 1.0, 1.0, 1 / 1.3, 1.0, 1.0, 1 / 1.3, 1.0, 1.0)
+"""Thousandths of a core, and work done in a second, of each endpoint, as played by the users."""
+
+SHARES = (0.28, 0.335, 0.385)
+"""Parts of the traffic of three entries, uneven as between the users' zones."""
+
+LOADS = (0.8, 1.0, 1.4, 1.8, 2.2)
+"""Multiples of the usual traffic during the burst."""
+
+SECONDS = 10.0
+BURST = (3.0, 7.0)
+WINDOW_S = 2.0
+WARM_S = 1.0
+TAIL_S = 12.0
+LATE_WORTH = 0.2
+LATEST = 3.0
+"""Multiples of its objective up to which a late job has that part of its worth."""
+
+
+class Kind(NamedTuple):
+    """One kind of job: how many come a second, and how it is drawn."""
+
+    queue: QueueRules
+    per_s: float
+    tasks: int
+    most_tasks: int
+    work_s: float
+    worth: float
+
+
+def _queue(name: str, priority: int) -> QueueRules:
+    return QueueRules(name, "h.example", f"/{name}/", "s", 9000, 60, priority, 3, 1.6)
+
+
+KINDS = (
+    Kind(_queue("weigh", 0), 17.2, 8, 32, 0.12, 0.0291),
+    Kind(_queue("check", 2), 3.12, 4, 16, 1.8, 0.16),
+    Kind(_queue("receipt", 1), 50.0, 2, 8, 0.4, 0.01),
+)
+
+
+class Arrival(NamedTuple):
+    """One job: when, where and what, with the true run time of each task in seconds."""
+
+    at: float
+    entry: str
+    kind: Kind
+    cpu: int
+    works: tuple[float, ...]
+    estimate_ms: int
+
+    @property
+    def objective_s(self) -> float:
+        """Latency objective by the true work."""
+        return self.kind.queue.stretch * max(self.works) + self.kind.queue.target_ms / 1000
+
+    @property
+    def worth(self) -> float:
+        """What it earns when in time: part fixed, part by its work."""
+        usual = self.kind.tasks * self.kind.work_s
+        size = min(4.0, sum(self.works) / usual)
+        return self.kind.worth * (0.3 + 0.7 * size)
+
+
+class Result(NamedTuple):
+    """One run: parts of the credit, and of the jobs."""
+
+    load: float
+    credit: float
+    worst_window: float
+    worst_kind: float
+    in_time: float
+    late: float
+    refused: float
+    wasted_runs: int
+    bound: float
+
+
+def arrivals(rng: Random, load: float) -> list[Arrival]:
+    """Poisson arrivals of all kinds; the burst multiplies them."""
+    found = []
+    for kind in KINDS:
+        at = 0.0
+        while at < SECONDS:
+            factor = load if BURST[0] <= at < BURST[1] else min(load, 1.0)
+            at += rng.expovariate(kind.per_s * factor)
+            found.append(_arrival(rng, kind, at))
+    return sorted(found, key=lambda each: each.at)
+
+
+def _arrival(rng: Random, kind: Kind, at: float) -> Arrival:
+    entry = f"e{rng.choices(range(len(SHARES)), SHARES)[0]}"
+    tasks = max(1, min(kind.most_tasks, round(kind.tasks * rng.lognormvariate(-0.08, 0.4))))
+    work_s = min(4 * kind.work_s, kind.work_s * rng.lognormvariate(-0.08, 0.4))
+    works = tuple(work_s * rng.uniform(0.85, 1.15) for _ in range(tasks))
+    cpu = int(min(2300.0, max(800.0, rng.gauss(1600, 320))))
+    return Arrival(at, entry, kind, cpu, works, int(1000 * work_s * rng.uniform(0.6, 1.4)))
+
+
+def make_world(seed: int) -> World:
+    """Endpoints of two sizes and two speeds."""
+    world = World(AGENTS, len(SHARES), seed)
+    for machine, cpu, speed in zip(world.machines.values(), ROOMS, SPEEDS, strict=True):
+        machine.endpoint.capacity = Room(cpu, 65536, 0)
+        machine.endpoint.speed = speed
+    world.run(WARM_S)
+    return world
+
+
+def play(load: float, seed: int) -> Result:
+    """Play one run and account for it."""
+    jobs = arrivals(Random(seed), load)
+    world = make_world(seed)
+    asked: list[tuple[Arrival, Asked]] = []
+    for job in jobs:
+        world.at(job.at, "", _hand_in, world, job, asked)
+    world.run(SECONDS + TAIL_S)
+    if world.breaches:
+        raise AssertionError(world.breaches[:3])
+    return account(load, asked, world.wasted_runs, bound(jobs))
+
+
+def _hand_in(world: World, job: Arrival, asked: list[tuple[Arrival, Asked]]) -> None:
+    handed_in = world.submit(
+        job.entry,
+        tasks=len(job.works),
+        cpu=job.cpu,
+        estimate_ms=job.estimate_ms,
+        queue=job.kind.queue,
+        time_limit_s=9.0,
+        works=job.works,
+    )
+    asked.append((job, handed_in))
+
+
+def earned(job: Arrival, took_s: float | None) -> float:
+    """Credit of a job that took so long; None when it was not served."""
+    if took_s is None or took_s > LATEST * job.objective_s:
+        return 0.0
+    return job.worth if took_s <= job.objective_s else LATE_WORTH * job.worth
+
+
+def account(
+    load: float, asked: list[tuple[Arrival, Asked]], wasted_runs: int, best: float
+) -> Result:
+    """Sum up credit over the run, its windows and its kinds of job."""
+    owed: Counter[object] = Counter()
+    got: Counter[object] = Counter()
+    ways: Counter[str] = Counter()
+    for job, handed_in in asked:
+        verdict = handed_in.ticket.verdict
+        done = verdict is not None and verdict.outcome is Outcome.COMPLETED
+        took_s = handed_in.ended_at - handed_in.at if done else None
+        credit = earned(job, took_s)
+        for key in ("all", int(job.at / WINDOW_S), job.kind.queue.name):
+            owed[key] += job.worth  # type: ignore[assignment]
+            got[key] += credit  # type: ignore[assignment]
+        ways["in" if credit == job.worth else "late" if done else "refused"] += 1
+    parts = {key: got[key] / owed[key] for key in owed}
+    windows = sorted(part for key, part in parts.items() if isinstance(key, int))
+    return Result(
+        load,
+        parts["all"],
+        mean(windows[:2]),
+        min(parts[kind.queue.name] for kind in KINDS),
+        ways["in"] / len(asked),
+        ways["late"] / len(asked),
+        ways["refused"] / len(asked),
+        wasted_runs,
+        best,
+    )
+
+
+def bound(jobs: list[Arrival]) -> float:
+    """Part of the credit that one queue earns which knows every run time."""
+    free, speeds = list(ROOMS), list(SPEEDS)
+    ends: list[tuple[float, int, int]] = []
+    waiting: list[tuple[float, int, Arrival]] = []
+    coming = [(job.at, number, job) for number, job in enumerate(jobs)]
+    got = 0.0
+    while coming or waiting:
+        now = min(coming[0][0] if coming else 1e9, ends[0][0] if ends and waiting else 1e9)
+        while ends and ends[0][0] <= now:
+            _, place, cpu = heapq.heappop(ends)
+            free[place] += cpu
+        while coming and coming[0][0] <= now:
+            at, number, job = coming.pop(0)
+            heapq.heappush(waiting, (at + job.objective_s - max(job.works), number, job))
+        left = []
+        while waiting:
+            latest, number, job = heapq.heappop(waiting)
+            if now > latest + 0.3 * max(job.works):
+                continue
+            placed = _fit(job, free, speeds)
+            if placed is None:
+                left.append((latest, number, job))
+                continue
+            took_s = now - job.at
+            for place, work_s in zip(placed, job.works, strict=True):
+                run_s = work_s / speeds[place]
+                took_s = max(took_s, now - job.at + run_s)
+                free[place] -= job.cpu
+                heapq.heappush(ends, (now + run_s, place, job.cpu))
+            got += earned(job, took_s)
+        waiting = left
+        heapq.heapify(waiting)
+    return got / sum(job.worth for job in jobs)
+
+
+def _fit(job: Arrival, free: list[int], speeds: list[float]) -> list[int] | None:
+    """Endpoints for every task of a job, or None when some does not fit."""
+    left = list(free)
+    placed = []
+    for _ in job.works:
+        fitting = [place for place, cpu in enumerate(left) if cpu >= job.cpu]
+        if not fitting:
+            return None
+        place = max(fitting, key=lambda each: (speeds[each], left[each]))
+        left[place] -= job.cpu
+        placed.append(place)
+    return placed
+
+
+def table(loads: tuple[float, ...], seeds: int) -> Iterator[Result]:
+    """Means over seeds, one row a load."""
+    for load in loads:
+        runs = [play(load, seed) for seed in range(seeds)]
+        yield Result(*(round(mean(each), 3) for each in zip(*runs, strict=True)))
+
+
+def plot(rows: dict[str, list[Result]], path: Path) -> None:
+    """Draw credit against load, one line a policy and one the bound, as SVG."""
+    lines = {name: [(r.load, r.credit) for r in found] for name, found in rows.items()}
+    first = next(iter(rows.values()))
+    lines["one queue that knows all"] = [(r.load, r.bound) for r in first]
+    low, high = first[0].load, first[-1].load
+    parts = ['<svg xmlns="http://www.w3.org/2000/svg" width="640" height="400">']
+    for number, (name, points) in enumerate(lines.items()):
+        colour = ("#0a5", "#c30", "#05a", "#777")[number % 4]
+        at = [f"{40 + 560 * (x - low) / (high - low):.0f},{360 - 320 * y:.0f}" for x, y in points]
+        parts.append(f'<polyline points="{" ".join(at)}" fill="none" stroke="{colour}"/>')
+        parts.append(f'<text x="60" y="{300 + 18 * number}" fill="{colour}">{name}</text>')
+    for x in (low, high):
+        at_x = 40 + 560 * (x - low) / (high - low)
+        parts.append(f'<text x="{at_x:.0f}" y="380">{x} x</text>')
+    path.write_text("\n".join([*parts, "</svg>\n"]))
+
+
+def main() -> None:
+    """Print credit against load, and keep it beside what was measured for other policies."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--loads", default=",".join(map(str, LOADS)))
+    parser.add_argument("--keep", default="", help="name under which the rows are kept")
+    args = parser.parse_args()
+    logger.remove()
+    rows = []
+    print(" ".join(f"{name:>12}" for name in Result._fields))
+    for row in table(tuple(float(each) for each in args.loads.split(",")), args.seeds):
+        rows.append(row)
+        print(" ".join(f"{value:12g}" for value in row))
+    if args.keep:
+        kept = json.loads(RESULT.read_text()) if RESULT.exists() else {}
+        kept[args.keep] = [row._asdict() for row in rows]
+        RESULT.write_text(json.dumps(kept, indent=1) + "\n")
+        found = {name: [Result(**row) for row in each] for name, each in kept.items()}
+        plot(found, RESULT.with_suffix(".svg"))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -680,14 +680,15 @@
         queue: QueueRules = QUEUE,
         time_limit_s: float = 5.0,
     ) -> Asked:
-        """Hand in a job of one step."""
+        """Hand in a job of one step; ``works`` holds the run time of each task if they differ."""
         self._jobs += 1
         name = job_id or f"{self._jobs:016x}"
         guess_ms = int(run_s * 1000) if estimate_ms is None else estimate_ms
         step = StepSpec(tasks, Room(cpu, 64, 0), guess_ms)
         spec = JobSpec(name, "x", (step,))
         for index in range(tasks):
-            self.works[f"{name}.0.0.{index}"] = (step, Work(run_s, failures))
+            each_s = works[index] if works else run_s
+            self.works[f"{name}.0.0.{index}"] = (step, Work(each_s, failures))
         node = self.entries[entry]
         assert node.entry is not None
         ticket = node.entry.submit(spec, queue, time_limit_s)
@@ -698,6 +699,7 @@
         else:
             ticket.done = _EndNote(self, asked)
         return asked
+        works: tuple[float, ...] = (),
 
     def note_start(self, endpoint: FakeEndpoint, task: str) -> None:
         """Check a start against every run of its task that is at work elsewhere."""
--- a/src/gentianmux/leased/admission.py
+++ b/src/gentianmux/leased/admission.py
@@ -11,6 +11,14 @@
 use to the caller, and the objective rests on an estimate that may be 40 % too high."""
 
 
+OVERTAKING = 4.0
+"""How many times longer than the work ahead of it a waiting job is taken to wait. More urgent jobs
+that come later overtake it, rooms do not fit exactly, and estimates are off. At 1.9 times the usual
+load of the deployments (``bench.leased_load``, 6 seeds) 16 % of jobs were late with 1, 5 % with 3,
+3 % with 4 and 2 % with 6, and the credit of the worst seconds was 0.58, 0.71, 0.71 and 0.74; with 6
+more were refused at moments of less load."""
+
+
 class Load(NamedTuple):
     """Work ahead of a job and what works it off, both in cores and core-seconds."""
 
@@ -18,19 +26,19 @@
     capacity_cpu: float
 
 
-def urgency(job: JobState) -> tuple[bool, float]:
-    """Sort key: jobs that have begun first, then by the time at which they have to begin.
+def urgency(job: JobState) -> tuple[bool, int, float]:
+    """Sort key: jobs that have begun, then by priority, then by when they have to begin.
 
     A job that has begun holds room and earns nothing until its last task has ended.
     """
-    return not job.began, job.latest_start
+    return not job.began, job.queue.priority, job.latest_start
 
 
 def wait_s(load: Load) -> float:
-    """How long the work ahead takes."""
+    """How long a job with work ahead of it has to wait, in seconds."""
     if load.capacity_cpu <= 0:
         return float("inf")
-    return load.ahead_cpu_s / load.capacity_cpu
+    return OVERTAKING * load.ahead_cpu_s / load.capacity_cpu
 
 
 class Refusal(NamedTuple):
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -60,7 +60,7 @@
     target_ms : int
         Allowance on top of the stretched work, in the queue's latency objective.
     priority : int
-        0 goes first; read and handed on, not acted on yet.
+        Jobs of queue 0 go first; work that has begun is not given up for them.
     max_attempts : int
         Runs of a task that may fail before its job has failed.
     stretch : float
