--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -575,6 +575,15 @@
         for entry in self._links.processes():
             self._links.send(entry, self._state())
 
+    def turn_away(self, entries: set[str]) -> set[str]:
+        """Offer some entries no room any more; those of them that run nothing here."""
+        idle = {entry for entry in entries & self._reports.turned_away if not self._serves(entry)}
+        self._reports.turned_away = entries - idle
+        return idle
+
+    def _serves(self, entry: str) -> bool:
+        return bool(self.table.of_entry(entry)) or self._reports.awaits(entry)
+
     def offered(self) -> Room:
         """Room in which new runs may begin now."""
         if not self.is_accepting:
@@ -618,6 +627,8 @@
         self.begin_leaving(until)
         while not self.has_left() and self._clock.now() < until:
             gevent.sleep(0.02)
+        self._leaves_at = self._clock.now()
+        self._tell_state()
         for key in list(self.table.runs):
             self._stop(key, How.STOPPED, "the agent ends")
         self._stop_due()
@@ -627,6 +638,4 @@
 
 
 def _job_of(task: str) -> str:
-        self._leaves_at = self._clock.now()
-        self._tell_state()
     return task.partition(".")[0]
--- a/src/gentianmux/leased/entry_reports.py
+++ b/src/gentianmux/leased/entry_reports.py
@@ -8,7 +8,7 @@
 from .chain import AgentSide
 from .links import Links
 from .model import How
-from .room import Room
+from .room import NO_ROOM, Room
 
 GATHER_S = 0.002
 """Seconds for which changes are gathered into one report to all: about one network round trip."""
@@ -46,6 +46,8 @@
         Number of the last assignment of each entry.
     hungry : set
         Entries that wait for room.
+    turned_away : set
+        Entries that are offered none, since the agent will let go of them.
 
     Examples
     --------
@@ -56,6 +58,7 @@
         self.chain = AgentSide()
         self.applied: dict[str, int] = {}
         self.hungry: set[str] = set()
+        self.turned_away: set[str] = set()
         self._links = links
         self._clock = clock
         self._load = load
@@ -73,6 +76,10 @@
         """Whether some ended run has not been acknowledged."""
         return any(self._unseen.values())
 
+    def awaits(self, entry: str) -> bool:
+        """Whether an entry has yet to acknowledge some ended run."""
+        return bool(self._unseen.get(entry))
+
     def ended(self, entry: str, task: str, run: int, how: How, ran_ms: int) -> None:
         """Keep how a run ended until its entry has acknowledged it."""
         self._ended_number += 1
@@ -102,6 +109,7 @@
             self._unseen.pop(entry, None)
             self.applied.pop(entry, None)
             self.chain.forget(entry)
+            self.turned_away.discard(entry)
 
     # Load
 
@@ -122,15 +130,17 @@
         load = self._load()
         sharing = self.chain.holding(self._clock.now())
         for entry in entries:
+            room = NO_ROOM if entry in self.turned_away else load.offered
             msg = AgentLoad(
                 number=self._number,
                 applied=self.applied.get(entry, 0),
-                cpu=load.offered.cpu,
-                mem_mb=load.offered.mem_mb,
-                gpu=load.offered.gpu,
+                cpu=room.cpu,
+                mem_mb=room.mem_mb,
+                gpu=room.gpu,
                 slowness_percent=load.slowness_percent,
                 config_version=load.config_version,
                 entries=sharing,
+                longest_ms=load.longest_ms,
             )
             self._links.send(entry, msg)
 
@@ -140,7 +150,6 @@
         """Follow up an assignment: tell its entry why it was refused, or offer what is left."""
         if refused:
             self._report([entry])
-                longest_ms=load.longest_ms,
         elif entry == self._offered_to:
             self.offer_room()
 
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -19,6 +19,7 @@
 from ..settings import Settings
 from .agent import Agent
 from .config_feed import ConfigFeed, ConfigSource
+from .connecting import AgentNeighbours, EntryNeighbours
 from .directory import Announcement, Directory
 from .entry import Entry
 from .fleet_view import FleetView
@@ -45,8 +46,8 @@
 ISOLATED_S = 0.25
 """Seconds between an agent's looks for entries while it has none: a read is some 20 ms."""
 
-PATIENCE_S = 0.5
-"""Seconds that an entry gives agents to connect by themselves."""
+SLOWEST_READ_S = 8.0
+"""Seconds between an agent's looks for entries while it has some, but fewer than it may."""
 
 App = Callable[..., Iterable[bytes]]
 
@@ -139,21 +140,23 @@
 
 
 def _find_entries(agent: Agent, directory: Directory, base: Process) -> None:
-    """Read who is there at the start, and again while no entry is connected.
+    """Keep connections to a few entries, and read who is there while they are too few.
 
-    Entries follow the announcements and connect to new agents, and hand the configuration on; so
-    the store has no reads of 11,000 agents that wait.
+    Entries follow the announcements, connect to agents that prefer them, and hand the
+    configuration on; so the store has no reads of 11,000 agents that wait.
     """
-    known = directory.read()
-    _resume_endpoint(agent, known, base.cfg)
+    found = directory.read()
+    _resume_endpoint(agent, found, base.cfg)
+    neighbours = EntryNeighbours(base.cfg.name, base.links, agent)
+    wait_s = ISOLATED_S
     while True:
-        for each in known or ():
-            if each.role == "entry":
-                base.links.dial(each.address)
-        gevent.sleep(ISOLATED_S)
-        while base.links.processes():
+        neighbours.learn(found or ())
+        next_read = base.clock.now() + wait_s
+        while base.clock.now() < next_read or neighbours.has_enough:
             gevent.sleep(ISOLATED_S)
-        known = directory.read()
+            neighbours.settle()
+        wait_s = min(SLOWEST_READ_S, wait_s * 2) if base.links.processes() else ISOLATED_S
+        found = directory.read()
 
 
 def _resume_endpoint(agent: Agent, known: list[Announcement] | None, cfg: LeasedSettings) -> None:
@@ -184,14 +187,15 @@
     entry = Entry(cfg, view, base.links, base.feed, base.metrics, base.clock)
     directory = Directory(base.store, base.metrics)
 
-    def connect(found: Announcement) -> None:
-        if found.role == "agent":
-            base.links.dial(found.address, PATIENCE_S)
-        if found.report is not None:
+    neighbours = AgentNeighbours(cfg.name, base.links)
+
+    def take(found: Announcement) -> None:
+        preferred = neighbours.learn(found)
+        if preferred and found.report is not None:
             cpu = found.report.capacity.cpu
             view.expect(found.name, found.report.service, cpu, base.clock.now())
 
-    directory.on_found = connect
+    directory.on_found = take
     base.links.start()
     app = make_app(entry)
     callers = base.serve(cfg.http_address, app)
