A process that stood still between taking a run on and starting it starts nothing

The run's lease was counted from the call. Change: the lease chain is checked again before the call, the lease counts from that check, so the endpoint refuses a call that leaves later; chains are also checked before each renewal.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -215,7 +215,9 @@
             raise NoAnswer("silent")
         return endpoint
 
-    def start(self, task: str, run: int, payload: str, lease: float) -> StartVerdict:
+    def start(
+        self, task: str, run: int, payload: str, lease: float, asked_at: float
+    ) -> StartVerdict:
         until = self._until(lease)
         try:
             endpoint = self._there()
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -267,6 +267,7 @@
 
     def look(self) -> bool:
         """Look at the endpoint once, renewing its lease; false when it did not answer."""
+        self._stop_unechoed()
         clean = self.table.is_clean
         lately = self._clock.now() - self._answered_at < RENEW_WITHOUT_ANSWER_S
         # Leases of what an earlier agent began are not renewed: it has to end.
@@ -435,8 +436,15 @@
 
     def _start(self, task: LeasedTask) -> None:
         key = (task.name, task.run)
+        now = self._clock.now()
+        if key not in self.table.runs:
+            return
+        if not self._chain.holds(self.table.runs[key].entry, now):
+            # The process stood still since it took the run on; it may be at work elsewhere.
+            self._end_unstarted(key, How.NOT_STARTED)
+            return
         payload = task.payload.decode("utf-8", "replace")
-        verdict = self._driver.start(task.name, task.run, payload, self._lease_s)
+        verdict = self._driver.start(task.name, task.run, payload, self._lease_s, now)
         now = self._clock.now()
         if verdict is StartVerdict.STARTED:
             self.table.started(key, now)
@@ -451,7 +459,10 @@
         logger.bind(task=task.name, run=task.run, verdict=verdict.value).warning("start refused")
         if verdict is StartVerdict.UNHEALTHY:
             self.health.ended(_job_of(task.name), True, None, now)
-        done = self.table.refused(key, _NOT_RUN[verdict])
+        self._end_unstarted(key, _NOT_RUN[verdict])
+
+    def _end_unstarted(self, key: RunKey, how: How) -> None:
+        done = self.table.refused(key, how)
         if done is not None:
             self._end_all([done])
             self._reports.offer_room()
@@ -501,18 +512,27 @@
             self._stop_due()
 
     def check_chains(self) -> None:
-        """Stop the runs of entries that no longer echo."""
+        """Stop the runs of entries that no longer echo, and open connections in place of silent
+        ones."""
         now = self._clock.now()
-        for run in list(self.table.runs.values()):
-            if not self._chain.holds(run.entry, now):
-                self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
-        self._stop_due()
+        self._stop_unechoed()
         for entry in self._links.processes():
             if self._chain.is_quiet(entry, now):
                 self._links.renew(entry)
         self._reports.forget_silent(now)
         self._links.close_silent()
 
+    def _stop_unechoed(self) -> None:
+        """Stop the runs of entries that no longer echo.
+
+        Also before each renewal: a process that stood still may look before it checks the chains.
+        """
+        now = self._clock.now()
+        for run in list(self.table.runs.values()):
+            if not self._chain.holds(run.entry, now):
+                self._stop(run.key, How.STOPPED, f"{run.entry} no longer echoes")
+        self._stop_due()
+
     # Ends
 
     def _end_all(self, finished: list[Finished]) -> None:
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -196,8 +196,14 @@
         """
         ...
 
-    def start(self, task: str, run: int, payload: str, lease_s: float) -> StartVerdict:
-        """Start a run under a lease; never raises."""
+    def start(
+        self, task: str, run: int, payload: str, lease_s: float, asked_at: float
+    ) -> StartVerdict:
+        """Start a run under a lease that counts from ``asked_at``, monotonic; never raises.
+
+        The endpoint refuses a start that reaches it after that lease, so a process that stood
+        still between deciding and sending starts nothing.
+        """
         ...
 
     def stop(self, task: str, run: int) -> bool:
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -113,9 +113,12 @@
         """When every lease ever asked for has run out, on the monotonic clock."""
         return self._lease_end
 
-    def start(self, task: str, run: int, payload: str, lease_s: float) -> StartVerdict:
-        """Start a run under a lease."""
-        content = {"task": task, "run": run, "spec": payload, "until_ms": self._until(lease_s)}
+    def start(
+        self, task: str, run: int, payload: str, lease_s: float, asked_at: float
+    ) -> StartVerdict:
+        """Start a run under a lease that counts from ``asked_at``."""
+        until_ms = self._until(lease_s, asked_at)
+        content = {"task": task, "run": run, "spec": payload, "until_ms": until_ms}
         try:
             reply = self._call(self._orders, "/v1/run-start", content, START_S)
             if reply.status == 200:
@@ -151,7 +154,7 @@
         asked_at = monotonic()
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
         if lease_s:
-            content["until_ms"] = self._until(lease_s)
+            content["until_ms"] = self._until(lease_s, asked_at)
         reply = self._call(self._looks, "/v1/hold", content, timeout_s)
         if reply.status == REPLACED:
             raise EndpointGone
@@ -176,10 +179,9 @@
             raise NoAnswer(f"status {reply.status} without a clock")
         self._fence = int(self._clock_ms)
 
-    def _until(self, lease_s: float) -> int:
-        now = monotonic()
-        self._lease_end = max(self._lease_end, now + lease_s * CLOCK_DRIFT + self._stop_s)
-        return int(self._clock_ms + (now - self._clock_at) * 1000 + lease_s * 1000)
+    def _until(self, lease_s: float, asked_at: float) -> int:
+        self._lease_end = max(self._lease_end, asked_at + lease_s * CLOCK_DRIFT + self._stop_s)
+        return int(self._clock_ms + (asked_at - self._clock_at) * 1000 + lease_s * 1000)
 
     def _call(
         self, caller: HttpCaller, path: str, content: dict[str, Any], timeout_s: float
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -226,7 +226,7 @@
     assert_kept(world)
 
 
-@pytest.mark.parametrize("seed", range(30))
+@pytest.mark.parametrize("seed", [*range(30), 343])
 def test_random_walks_keep_every_promise(seed: int) -> None:
     world = ready_world(agents=5, entries=3, seed=seed)
     rng = Random(seed)
@@ -255,7 +255,7 @@
     machine = world.machines[rng.choice(sorted(world.machines))]
     entry = rng.choice(sorted(world.entries))
     endpoint = machine.endpoint
-    what = rng.randrange(14)
+    what = rng.randrange(15)
     if what == 0:
         world.kill(world.process_of(machine.name))
         world.at(rng.uniform(0.05, 2.0), "", world.start_agent, machine.name)
@@ -291,6 +291,8 @@
         _break_callers(world, rng, entry, machine.name)
     elif what == 13:
         world.silence_connections()
+    elif what == 14 and world.process_of(machine.name) in world.alive:
+        world.stop_agent(machine.name, rng.uniform(0.3, 5.3), rng.uniform(0.2, 2.0))
 
 
 def _report_late(world: World, name: str, report: EndpointReport) -> None:
@@ -533,3 +535,20 @@
     assert len(in_time) > 0.85 * len(world.asked)
     assert world.wasted_runs == 0
     assert_kept(world)
+
+
+def test_an_agent_frozen_before_it_starts_what_it_took_on_starts_nothing_when_it_wakes() -> None:
+    world = ready_world()
+    job = world.submit("e0", tasks=2, run_s=1.0)
+    task = f"{job.spec.job_id}.0.0.0"
+    takers: list[str] = []
+    while not takers:
+        world.run(0.0002)
+        tables = {m.name: m.agent.table for m in world.machines.values() if m.agent}
+        takers = [name for name, table in tables.items() if table.runs_of_task(task)]
+    assert task not in world.started
+    world.freeze(world.process_of(takers[0]), 1.6)
+    world.run(4.0)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
+    assert world.starts == 2
