--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -4,7 +4,6 @@
 from functools import singledispatchmethod
 
 import gevent
-from gevent.event import Event
 from loguru import logger
 
 from ..clock import Clock, repeat
@@ -23,17 +22,15 @@
 )
 from ..metrics import Metrics
 from .config_feed import ConfigFeed
+from .endpoint_looks import EndpointLooks, LookHooks
 from .entry_reports import EntryReports, Load
 from .health import EndpointHealth
 from .leaving import NO_BOUND_MS, longest_ms
 from .links import Links
 from .model import (
     EndpointDriver,
-    EndpointGone,
     EndpointReport,
-    HoldReply,
     How,
-    NoAnswer,
     StartVerdict,
 )
 from .progress import SLOW_FACTOR
@@ -44,26 +41,6 @@
 REPORT_S = 0.1
 """Seconds between load reports when nothing changes, a quarter of the lease chain."""
 
-LOOK_S = 0.08
-"""Seconds that a look waits for an end; progress and leases are renewed that often."""
-
-LOOK_PATIENCE_S = 0.08
-"""Seconds beyond its wait after which a look is taken as lost and made again. An answer takes
-some 2 ms; a processor that is granted in tenths of a second delays it by up to 90."""
-
-SILENT_LOOKS = 2
-"""Lost looks in a row after which the endpoint gets nothing new; single ones are only lost."""
-
-RENEW_WITHOUT_ANSWER_S = 0.25
-"""Seconds since the last answered look for which lost looks still renew the lease: two tries. It
-is bounded, or there would be no moment at which every lease has surely run out."""
-
-CLEANING_LOOK_S = 0.01
-"""Seconds that a look waits while runs of an earlier agent are being stopped."""
-
-SILENCE_PAUSE_S = 0.02
-"""Seconds between looks at an endpoint that does not answer."""
-
 CHAIN_CHECK_S = 0.05
 """Seconds between checks of the entries' leases."""
 
@@ -141,13 +118,10 @@
         self.leaving = False
         self._leaves_at = float("inf")
         self._idle_since: float | None = None
-        self.answering = False
         self.on_endpoint: Callable[[EndpointReport | None], None] = lambda report: None
         self._lease_s = lease_s(cfg)
-        self._lost_looks = 0
-        self._answered_at = 0.0
-        self._attached = Event()
-        self._life = 0
+        hooks = LookHooks(self._stop_unechoed, self._detach, self._on_looked, self._on_silence)
+        self.looks = EndpointLooks(driver, self.table, metrics, clock, self._lease_s, hooks)
         self._replacing: set[RunKey] = set()
         self._reports = EntryReports(links, clock, self._load)
         self._chain = self._reports.chain
@@ -189,10 +163,10 @@
         known = self.report
         if known is None:
             return False
-        life = self._life
+        life = self.looks.life
         answers = (self._driver.is_present(report) for _ in range(PROBES))
         present = next((answer for answer in answers if answer is not None), None)
-        if present and life == self._life:
+        if present and life == self.looks.life:
             return False
         logger.bind(endpoint=report.endpoint, present=known.endpoint, answered=present).info(
             "heartbeat of another life ignored"
@@ -202,13 +176,11 @@
     def _attach(self, report: EndpointReport) -> None:
         logger.bind(endpoint=report.endpoint, capacity=report.capacity).info("endpoint found")
         self._end_all(self.table.lose_all())
-        self._life += 1
         self.report = report
         self.table.reset(report.capacity)
         self.health = EndpointHealth()
-        self.answering = False
         self._driver.attach(report)
-        self._attached.set()
+        self.looks.turn_to(report.endpoint)
         self.on_endpoint(report)
 
     def on_left(self, endpoint: str) -> None:
@@ -221,8 +193,7 @@
             return
         logger.bind(endpoint=self.report.endpoint, reason=why).warning("endpoint gone")
         self.report = None
-        self.answering = False
-        self._attached.clear()
+        self.looks.turn_away()
         self._end_all(self.table.lose_all())
         self.table.reset(NO_ROOM)
         self._tell_state()
@@ -240,7 +211,7 @@
     def is_accepting(self) -> bool:
         """Whether new runs may begin here."""
         ready = self.report is not None and not self.report.draining
-        return ready and self.answering and self.table.is_clean and self.longest_ms() > 0
+        return ready and self.looks.answering and self.table.is_clean and self.longest_ms() > 0
 
     def longest_ms(self) -> int:
         """The longest estimate of a run that may still begin here, in ms."""
@@ -255,82 +226,28 @@
             gevent.spawn(repeat, CHAIN_CHECK_S, self.check_chains),
             gevent.spawn(repeat, STOP_AGAIN_S, self.repeat_stops),
         ]
-        return [gevent.spawn(self._run_looks), *every]
-
-    def _run_looks(self) -> None:
-        repeat(0.0, self._look_or_pause)
-
-    def _look_or_pause(self) -> None:
-        self._attached.wait()
-        if not self.look():
-            gevent.sleep(SILENCE_PAUSE_S)
+        return [gevent.spawn(self.looks.run), *every]
 
     def look(self) -> bool:
         """Look at the endpoint once, renewing its lease; false when it did not answer."""
-        self._stop_unechoed()
-        clean = self.table.is_clean
-        lately = self._clock.now() - self._answered_at < RENEW_WITHOUT_ANSWER_S
-        # Leases of what an earlier agent began are not renewed: it has to end.
-        renew_s = self._lease_s if clean and lately else 0.0
-        wait_s = LOOK_S if clean else CLEANING_LOOK_S
-        timeout_s = wait_s + LOOK_PATIENCE_S
-        life = self._life
-        try:
-            reply = self._driver.hold(self.table.acknowledged, wait_s, renew_s, timeout_s)
-        except EndpointGone:
-            if life == self._life:
-                self._detach("another life of it answers")
-        except NoAnswer as exc:
-            if life == self._life:
-                self._on_silence(str(exc))
-            return False
-        else:
-            self._take_look(reply, life)
-        return True
+        return self.looks.look()
 
-    def look_now(self) -> None:
-        """Look without waiting, beside the look that waits for an end."""
-        if self.report is None:
-            return
-        life = self._life
-        try:
-            reply = self._driver.hold(self.table.acknowledged, 0.0, 0.0, LOOK_PATIENCE_S)
-        except (EndpointGone, NoAnswer) as exc:
-            # The look that waits finds the same, and acts on it.
-            self._metrics.count("endpoint_silences", label=type(exc).__name__)
-        else:
-            self._take_look(reply, life)
-
-    def _on_silence(self, reason: str) -> None:
-        self._metrics.count("endpoint_silences")
-        self._lost_looks += 1
-        if self.answering and self._lost_looks >= SILENT_LOOKS:
-            logger.bind(reason=reason, runs=len(self.table.runs)).warning("endpoint is silent")
-            self.answering = False
-            self._reports.load_soon()
-        if self.table.runs and self._clock.now() > self._driver.lease_end():
-            self._end_all(self.table.lose_all())
-
-    def _take_look(self, reply: HoldReply, life: int) -> None:
-        if life != self._life or reply.asked_at < self._answered_at:
-            # Of an earlier life, whose ends are numbered from 1 as well, or overtaken by a newer
-            # look: what it lists may be gone by now.
-            return
-        if not self.answering and self.report is not None:
-            logger.bind(endpoint=self.report.endpoint).info("endpoint answers")
-        self.answering = True
-        self._lost_looks = 0
-        self._answered_at = reply.asked_at
-        was_clean = self.table.is_clean
-        finished = self.table.looked_at(reply, self._clock.now())
+    def _on_looked(self, finished: list[Finished], clean_changed: bool) -> None:
+        """Act on a look: report ends, stop what stands still, offer the room that is free."""
         self._end_all(finished)
         self._watch_progress()
         self._stop_due()
-        if self.table.is_clean != was_clean:
+        if clean_changed:
             self._tell_state()
         if finished:
             self._reports.offer_room()
 
+    def _on_silence(self, newly: bool) -> None:
+        if newly:
+            self._reports.load_soon()
+        if self.table.runs and self._clock.now() > self._driver.lease_end():
+            self._end_all(self.table.lose_all())
+
     def _watch_progress(self) -> None:
         now = self._clock.now()
         running = [run for run in self.table.runs.values() if run.phase is Phase.RUNNING]
@@ -453,7 +370,7 @@
             logger.bind(task=task.name, run=task.run).warning("a start was not answered")
             self._metrics.count("starts_unanswered")
             self.table.unanswered(key, now)
-            self.look_now()
+            self.looks.look_now()
             self._stop_due()
             return
         logger.bind(task=task.name, run=task.run, verdict=verdict.value).warning("start refused")
@@ -504,7 +421,7 @@
         if self._driver.stop(*key):
             self.table.stop_confirmed(key, self._clock.now())
             if key in self.table.runs and self.table.runs[key].stop_why.never_ran:
-                self.look_now()
+                self.looks.look_now()
 
     def repeat_stops(self) -> None:
         """Stop again what the endpoint has not confirmed as stopped."""
