An isolated agent reads the store at once again; its connections are settled by one step

Cause, found by reading the diff: an agent that had had too few entries for long read the store every 8 s, also when it then lost all of them; an error in the loop would have ended it; an entry that moved stayed dialed at its old address. Change: one step, made again after an error, with the pace of reads in it.

--- a/src/gentianmux/leased/connecting.py
+++ b/src/gentianmux/leased/connecting.py
@@ -2,12 +2,20 @@
 
 from collections.abc import Iterable
 
+from ..clock import Clock
 from .agent import Agent
-from .directory import Announcement
+from .directory import Announcement, Directory
 from .links import Links
 from .model import node_of
 from .neighbours import ENTRIES_PER_AGENT, is_preferred, wanted
 
+SETTLE_S = 0.25
+"""Seconds between an agent's looks at its connections, and at the store while it has none: a read
+takes some 20 ms."""
+
+SLOWEST_READ_S = 8.0
+"""Seconds between an agent's reads of the store while it has fewer entries than it may."""
+
 PATIENCE_S = 0.5
 """Seconds that an entry gives agents to connect by themselves."""
 
@@ -15,6 +23,10 @@
 class EntryNeighbours:
     """An agent's connections to entries.
 
+    Entries follow the announcements, connect to agents that prefer them, and hand the
+    configuration on; so an agent reads the store only while it has too few, and the store has no
+    waiting reads of 11,000 agents.
+
     Parameters
     ----------
     me : str
@@ -23,26 +35,48 @@
         Its connections.
     agent : Agent
         Is told which entries may give it new work.
+    directory : Directory
+        Says which entries there are.
+    clock : Clock
+        Time.
 
     Examples
     --------
-    ``neighbours.learn(directory.read())`` and then ``neighbours.settle()`` again and again.
+    ``neighbours.learn(directory.read())`` and then ``neighbours.step()`` every ``SETTLE_S``.
     """
 
-    def __init__(self, me: str, links: Links, agent: Agent) -> None:
+    def __init__(
+        self, me: str, links: Links, agent: Agent, directory: Directory, clock: Clock
+    ) -> None:
         self._me = me
         self._links = links
         self._agent = agent
+        self._directory = directory
+        self._clock = clock
         self._known: dict[str, str] = {}
+        self._read_at = clock.now()
+        self._wait_s = SETTLE_S
 
-    @property
-    def has_enough(self) -> bool:
-        """Whether as many entries are connected as may be."""
-        return len(self._links.processes()) >= ENTRIES_PER_AGENT
+    def step(self) -> None:
+        """Settle the connections, and read who is there while they are too few."""
+        self.settle()
+        connected = len(self._links.processes())
+        if not connected:
+            self._wait_s = SETTLE_S
+        if connected >= ENTRIES_PER_AGENT or self._clock.now() - self._read_at < self._wait_s:
+            return
+        self.learn(self._directory.read() or ())
+        self._read_at = self._clock.now()
+        self._wait_s = min(SLOWEST_READ_S, self._wait_s * 2)
 
     def learn(self, found: Iterable[Announcement]) -> None:
         """Take in announcements; those of other roles are passed over."""
-        self._known.update({each.name: each.address for each in found if each.role == "entry"})
+        for each in found:
+            if each.role != "entry":
+                continue
+            if self._known.get(each.name, each.address) != each.address:
+                self._links.undial(self._known[each.name])
+            self._known[each.name] = each.address
         self.settle()
 
     def settle(self) -> None:
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from ..clock import Clock
+from ..clock import Clock, repeat
 from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..http_server import HttpServer
@@ -19,7 +19,7 @@
 from ..settings import Settings
 from .agent import Agent
 from .config_feed import ConfigFeed, ConfigSource
-from .connecting import AgentNeighbours, EntryNeighbours
+from .connecting import SETTLE_S, AgentNeighbours, EntryNeighbours
 from .directory import Announcement, Directory
 from .entry import Entry
 from .fleet_view import FleetView
@@ -43,12 +43,6 @@
 RELOAD_S = 1.0
 """Seconds between looks at the settings, which may change without a signal."""
 
-ISOLATED_S = 0.25
-"""Seconds between an agent's looks for entries while it has none: a read is some 20 ms."""
-
-SLOWEST_READ_S = 8.0
-"""Seconds between an agent's looks for entries while it has some, but fewer than it may."""
-
 App = Callable[..., Iterable[bytes]]
 
 
@@ -140,30 +134,18 @@
 
 
 def _find_entries(agent: Agent, directory: Directory, base: Process) -> None:
-    """Keep connections to a few entries, and read who is there while they are too few.
-
-    Entries follow the announcements, connect to agents that prefer them, and hand the
-    configuration on; so the store has no reads of 11,000 agents that wait.
-    """
-    found = directory.read()
+    found = directory.read() or []
     _resume_endpoint(agent, found, base.cfg)
-    neighbours = EntryNeighbours(base.cfg.name, base.links, agent)
-    wait_s = ISOLATED_S
-    while True:
-        neighbours.learn(found or ())
-        next_read = base.clock.now() + wait_s
-        while base.clock.now() < next_read or neighbours.has_enough:
-            gevent.sleep(ISOLATED_S)
-            neighbours.settle()
-        wait_s = min(SLOWEST_READ_S, wait_s * 2) if base.links.processes() else ISOLATED_S
-        found = directory.read()
+    neighbours = EntryNeighbours(base.cfg.name, base.links, agent, directory, base.clock)
+    neighbours.learn(found)
+    repeat(SETTLE_S, neighbours.step)
 
 
-def _resume_endpoint(agent: Agent, known: list[Announcement] | None, cfg: LeasedSettings) -> None:
+def _resume_endpoint(agent: Agent, known: list[Announcement], cfg: LeasedSettings) -> None:
     """Take up the endpoint that was announced before a restart, without waiting for a heartbeat."""
     if agent.report is not None:
         return
-    mine = [each.report for each in known or () if each.name == cfg.name]
+    mine = [each.report for each in known if each.name == cfg.name]
     if mine and mine[0] is not None:
         agent.on_report(mine[0])
     else:
