--- a/bench/leased_detect.py
+++ b/bench/leased_detect.py
@@ -5,6 +5,8 @@
 from statistics import median
 from typing import NamedTuple
 
+from loguru import logger
+
 from bench.leased_world import World
 from bench.processes import ROOT
 
@@ -94,6 +96,7 @@
 
 def main() -> None:
     """Measure every loss over some seeds and print and keep the medians and the worst."""
+    logger.remove()
     rows = {}
     for name, loss in LOSSES.items():
         found = [measure(loss, seed) for seed in range(SEEDS)]
--- a/bench/leased_recover.py
+++ b/bench/leased_recover.py
@@ -5,6 +5,8 @@
 from statistics import median
 from typing import NamedTuple
 
+from loguru import logger
+
 from bench.leased_world import World
 from bench.processes import ROOT
 from gentianmux.leased.job_state import Outcome
@@ -106,6 +108,7 @@
 
 def main() -> None:
     """Measure every loss over some seeds and print and keep medians and worst."""
+    logger.remove()
     rows = {}
     for name, loss in LOSSES.items():
         found = [measure(loss, seed) for seed in range(SEEDS)]
