Tests on processes never draw the same port twice

Ruled out: the code under test, which had just started; the load. Change: a deployment remembers the ports it has drawn.

--- a/tests/platform_nodes.py
+++ b/tests/platform_nodes.py
@@ -47,7 +47,8 @@
         self.folder = folder
         self.store = PlatformStoreApp()
         self.store.put("keyed.op", "config", (CONFIG % 1).encode())
-        self.ports = {name: free_port() for name in ("front", "ready", "control", "peer")}
+        self._taken: set[int] = set()
+        self.ports = {name: self._port() for name in ("front", "ready", "control", "peer")}
         self._servers: list[HttpServer] = []
         self.store_address = self._serve(self.store, "127.0.0.1")
         self.endpoints: dict[str, PlatformEndpointApp] = {}
@@ -59,8 +60,15 @@
             self.apps[name] = self._serve(self.endpoints[name], self.ip_of(name))
         self._beats = gevent.spawn(self._beat)
 
+    def _port(self) -> int:
+        """A free port that nothing else of this deployment has been given."""
+        while (port := free_port()) in self._taken:
+            pass
+        self._taken.add(port)
+        return port
+
     def _serve(self, app: Any, ip: str) -> str:
-        address = f"{ip}:{free_port()}"
+        address = f"{ip}:{self._port()}"
         server = HttpServer(address, app, Settings(max_connections=100))
         server.start()
         self._servers.append(server)
