Connections on which frames still come are slow, not silent, and are left alone

Change: a connection is replaced only when nothing at all has come for 0.2 s. The test of links had passed because its dial loop connected anew by itself; it no longer dials, and fails without the replacement.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -13,7 +13,7 @@
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
 from gentianmux.leased.entry import STEP_S, Entry, Ticket
 from gentianmux.leased.fleet_view import FleetView
-from gentianmux.leased.links import RENEW_AGAIN_S, SILENT_S
+from gentianmux.leased.links import NOTHING_HEARD_S, RENEW_AGAIN_S, SILENT_S
 from gentianmux.leased.model import (
     ActiveRun,
     EndedRow,
@@ -341,6 +341,8 @@
     def renew(self, process: str) -> None:
         """Replace a connection, at most once in ``RENEW_AGAIN_S``."""
         now = self._world.time
+        if now - self.heard.get(process, now) < NOTHING_HEARD_S:
+            return
         if now - self.renewed.get(process, -RENEW_AGAIN_S) >= RENEW_AGAIN_S:
             self.renewed[process] = now
             self._world.at(3 * ONE_WAY_S, "", self._world.reopen, self.me.process, process)
--- a/tests/test_leased_links.py
+++ b/tests/test_leased_links.py
@@ -10,7 +10,7 @@
 from relay import Relay
 
 from gentianmux.clock import Clock
-from gentianmux.leased.links import Links
+from gentianmux.leased.links import NOTHING_HEARD_S, Links
 from gentianmux.leased.model import NoAnswer
 from gentianmux.leased.settings import LeasedSettings
 from gentianmux.messages import PROTOCOL_VERSION, Hello, LoadEcho, Message
@@ -46,12 +46,17 @@
         relay = Relay(entry._me.address)
         agent.dial(relay.address)
         wait_for(lambda: entry.processes() == ["a.1"] and agent.processes() == ["e.1"])
+        # Or it would dial the relay's address anew, at which no peer says it listens.
+        agent.undial(relay.address)
         assert entry.send("a.1", LoadEcho(1, 1, False))
         wait_for(lambda: received == [LoadEcho(1, 1, False)])
         relay.silence()
         entry.send("a.1", LoadEcho(2, 1, False))
-        gevent.sleep(0.05)
+        agent.renew("e.1")
+        gevent.sleep(NOTHING_HEARD_S + 0.05)
         assert len(received) == 1
+        # Just after a frame the connection counted as slow, and was left alone.
+        assert agent._metrics.total("links_renewed") == 0
         for _ in range(20):
             # Asked again and again, it opens one connection in 0.3 s.
             agent.renew("e.1")
