Addresses listen before the rest of the program is imported

Ruled out: the interpreter (20 ms) and the configuration (there 15 ms after the start of the loops). Change: Listeners opens callers', readiness and peer addresses from the settings alone; the servers take the open sockets. A request of that moment waits for the first configuration, 0.5 s at most, instead of being refused for good. The time limit that a caller names is now on the line of its job's end.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,11 +1,11 @@
 """Runs a role of gentianmux from a checkout: ``python3 deploy/run.py entry``."""
 
+import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "src"))
 
-from gentianmux.platform.main import main
+from gentianmux.platform.boot import boot
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1]))
+    sys.exit(boot(sys.argv[1]))
--- a/src/gentianmux/http_server.py
+++ b/src/gentianmux/http_server.py
@@ -11,6 +11,7 @@
 
 from .codes import ResultCode
 from .errors import GentianmuxError
+from .listeners import Listeners
 from .settings import Settings
 
 MAX_HEADER_LINE = 8192
@@ -59,12 +60,18 @@
         Bounds and, for callers' connections, TLS.
     tls : bool
         Whether to use the certificate of the settings, if they name one.
+    listeners : Listeners, optional
+        Addresses that are open already.
     """
 
     def __init__(
-        self, address: str, app: Callable[..., Any], cfg: Settings, tls: bool = False
+        self,
+        address: str,
+        app: Callable[..., Any],
+        cfg: Settings,
+        tls: bool = False,
+        listeners: Listeners | None = None,
     ) -> None:
-        ip, _, port = address.partition(":")
         self.idle_s = 300.0
         self.request_s = cfg.body_timeout_ms / 1000
         self._cfg = cfg
@@ -76,7 +83,7 @@
             options["ssl_context"] = self._context
         pool = Pool(cfg.max_connections)
         super().__init__(
-            (ip, int(port)),
+            (listeners or Listeners()).take(address),
             app,
             spawn=pool,
             log=None,
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 from loguru import logger
 
 from ..clock import Clock
@@ -57,6 +58,7 @@
     ) -> None:
         self.current: JobConfig | None = None
         self.on_change: Callable[[JobConfig], None] = lambda config: None
+        self._has_one = Event()
         self._source = source
         self._store = store
         self._metrics = metrics
@@ -67,6 +69,12 @@
         """Version of the present configuration, -1 for none."""
         return -1 if self.current is None else self.current.version
 
+    def first(self, patience_s: float) -> JobConfig | None:
+        """The present configuration; waits for one while there is none yet."""
+        if self.current is None:
+            self._has_one.wait(patience_s)
+        return self.current
+
     def offered(self, raw: bytes, origin: str) -> None:
         """Take in a configuration from a peer or the store, if it is newer and can be read."""
         try:
@@ -83,6 +91,7 @@
             "configuration in force"
         )
         self.current = config
+        self._has_one.set()
         self._metrics.gauge("config_version", config.version)
         self.on_change(config)
 
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -187,6 +187,7 @@
             reason=verdict.reason,
             took_ms=round(took_s * 1000),
             objective_ms=round(job.objective_s * 1000),
+            time_limit_ms=round((job.deadline - job.arrived) * 1000),
             began=job.began,
             tasks=len(job.tasks),
         ).info("job ended")
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -14,6 +14,7 @@
 from ..conn import Conn, quietly, receive, tune
 from ..errors import FrameError
 from ..frames import pack, split_frames
+from ..listeners import Listeners
 from ..messages import PROTOCOL_VERSION, Hello, Message
 from ..metrics import Metrics
 from .model import node_of
@@ -57,13 +58,22 @@
         Counts frames and bytes.
     clock : Clock
         Time.
+    listeners : Listeners, optional
+        Addresses that are open already.
 
     Notes
     -----
     ``on_open``, ``on_close`` and ``on_message`` are set by the controller; they must not block.
     """
 
-    def __init__(self, cfg: LeasedSettings, me: Hello, metrics: Metrics, clock: Clock) -> None:
+    def __init__(
+        self,
+        cfg: LeasedSettings,
+        me: Hello,
+        metrics: Metrics,
+        clock: Clock,
+        listeners: Listeners | None = None,
+    ) -> None:
         self.on_open: Callable[[Hello], None] = lambda hello: None
         self.on_close: Callable[[str], None] = lambda process: None
         self.on_message: Callable[[Message, str], None] = lambda msg, process: None
@@ -75,8 +85,8 @@
         self._heard: dict[str, float] = {}
         self._dialing: dict[str, gevent.Greenlet] = {}
         self._renewed: dict[str, float] = {}
-        ip, _, port = cfg.peer_address.partition(":")
-        self._server = StreamServer((ip, int(port)), self._serve)
+        listener = (listeners or Listeners()).take(cfg.peer_address)
+        self._server = StreamServer(listener, self._serve)
 
     def start(self) -> None:
         """Begin to listen; raises ``OSError`` when the address is taken."""
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -13,6 +13,7 @@
 from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..http_server import HttpServer
+from ..listeners import Listeners
 from ..memory_log import KeyedLog
 from ..messages import PROTOCOL_VERSION, Hello
 from ..metrics import Metrics
@@ -57,13 +58,17 @@
         The platform's store.
     source : ConfigSource
         Where the configuration lies in it.
+    listeners : Listeners
+        Addresses that are open already.
 
     Examples
     --------
     ``run_entry(process, make_app, stopping)`` returns once ``stopping`` is set and all is answered.
     """
 
-    def __init__(self, cfg: LeasedSettings, store: KeyedLog, source: ConfigSource) -> None:
+    def __init__(
+        self, cfg: LeasedSettings, store: KeyedLog, source: ConfigSource, listeners: Listeners
+    ) -> None:
         self.cfg = cfg
         self.clock = Clock()
         self.metrics = Metrics(Settings(name=cfg.name))
@@ -71,13 +76,14 @@
         self.feed = ConfigFeed(source, store, self.metrics, self.clock)
         process = f"{cfg.name}.{int(time() * 1000)}"
         self.me = Hello(PROTOCOL_VERSION, process, cfg.role, cfg.peer_address)
-        self.links = Links(cfg, self.me, self.metrics, self.clock)
+        self.links = Links(cfg, self.me, self.metrics, self.clock, listeners)
         self.http_cfg = Settings(max_connections=MAX_CONNECTIONS)
+        self._listeners = listeners
         self._servers: list[HttpServer] = []
 
     def serve(self, address: str, app: App) -> HttpServer:
         """Serve an application at an address."""
-        server = HttpServer(address, app, self.http_cfg)
+        server = HttpServer(address, app, self.http_cfg, listeners=self._listeners)
         server.start()
         self._servers.append(server)
         return server
--- a/src/gentianmux/platform/callers.py
+++ b/src/gentianmux/platform/callers.py
@@ -29,6 +29,10 @@
 RETRY_AFTER_S = 1
 """Seconds after which a process without a configuration may be asked again."""
 
+FIRST_CONFIG_S = 0.5
+"""Seconds that a request waits for the configuration of a process that has just begun, which has
+it 15 ms after it begins to accept while the store answers; refused, the request would be lost."""
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 _NOT_SERVED_OF_JOB = ("run_count",)
 _NOT_SERVED_OF_STEP = (
@@ -129,7 +133,7 @@
         raise GentianmuxError(ResultCode.METHOD_NOT_ALLOWED, method)
 
     def _queue_of(self, environ: dict[str, Any]) -> tuple[QueueRules, str]:
-        config = self._feed.current
+        config = self._feed.first(FIRST_CONFIG_S)
         if config is None:
             raise GentianmuxError(ResultCode.CONFIG_MISSING, retry_after_ms=RETRY_AFTER_S * 1000)
         host = environ.get("HTTP_HOST", "").partition(":")[0].lower()
--- a/src/gentianmux/platform/main.py
+++ b/src/gentianmux/platform/main.py
@@ -2,33 +2,27 @@
 
 import os
 import signal
-import sys
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
 from ..codes import ResultCode
-from ..errors import GentianmuxError
 from ..events import set_up_decision_log
 from ..leased.process import Process, run_agent, run_entry, watch_settings
+from ..leased.settings import LeasedSettings
+from ..listeners import Listeners
+from .boot import EXIT_BAD_SETTING
 from .config import CONFIG_SOURCE
 from .settings import PATH_VARIABLE, read_settings_file
 from .store import PlatformStore
 
-EXIT_BAD_SETTING = 2
 
-
-def main(role: str) -> int:
-    """Run a process of a role; return its exit status."""
+def run_role(cfg: LeasedSettings, listeners: Listeners) -> int:
+    """Run a process whose addresses are open until it is stopped; return its exit status."""
     # Addresses are IP numbers, so resolving needs no threads.
     gevent.config.resolver = "block"
-    try:
-        cfg = read_settings_file(role)
-    except GentianmuxError as exc:
-        print(f"{int(exc.code)} {exc.code.label}: {exc.detail}", file=sys.stderr)
-        return EXIT_BAD_SETTING
-    base = Process(cfg, PlatformStore(cfg.store_address), CONFIG_SOURCE)
+    base = Process(cfg, PlatformStore(cfg.store_address), CONFIG_SOURCE, listeners)
     lines = set_up_decision_log(
         base.me.process, lambda count: base.metrics.count("logs_dropped", count)
     )
@@ -36,8 +30,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
     gevent.signal_handler(signal.SIGHUP, reload.set)
-    logger.bind(role=role, address=cfg.peer_address, domain=cfg.failure_domain).info("started")
-    gevent.spawn(watch_settings, base, lambda: read_settings_file(role), _changed_at, reload)
+    logger.bind(role=cfg.role, address=cfg.peer_address, domain=cfg.failure_domain).info("started")
+    gevent.spawn(watch_settings, base, lambda: read_settings_file(cfg.role), _changed_at, reload)
     try:
         _run(base, stopping)
     except OSError as exc:
