A command tells from decision logs which jobs were lost, when and by which decision

gentianmux losses LOGS: per second and queue the jobs that were late, refused, failed or unknown, the decision that caused it and the mean of its inputs; response over ideal per queue; orders to run a task per completed job, and those that led to nothing. A run that was merely longer than its estimate is no loss of ours: it counts as late only beyond 1.15 times its longest run.

--- a/src/gentianmux/cli.py
+++ b/src/gentianmux/cli.py
@@ -18,6 +18,7 @@
 from .errors import GentianmuxError
 from .fleet_commands import Fleet
 from .ids import new_id
+from .loss_commands import Losses
 from .output import EXIT_FAILED, EXIT_OK, EXIT_UNKNOWN, Output, spinner
 
 ENTRY_URL = "http://127.0.0.1:7480"
@@ -149,7 +150,9 @@
 class Gentianmux:
     """The tool."""
 
-    command: cappa.Subcommands[Submit | Status | Cancel | Report | Explain | Config | Fleet]
+    command: cappa.Subcommands[
+        Submit | Status | Cancel | Report | Explain | Losses | Config | Fleet
+    ]
 
 
 def main(argv: list[str] | None = None) -> None:
