A leaving entry ends only after none has come for a while, and takes none from then on

Ruled out: a failure of the application (it logs one). Change: the entry leaves once no job has been there for 0.1 s, and refuses from that moment, with a time to come back. Errors of the WSGI handler, until now silent, are logged. Test: test_a_leaving_entry_takes_jobs_until_none_has_come_for_a_while_and_then_none, which fails without the change.

--- a/src/gentianmux/http_server.py
+++ b/src/gentianmux/http_server.py
@@ -8,6 +8,7 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY
+from loguru import logger
 
 from .codes import ResultCode
 from .errors import GentianmuxError
@@ -44,7 +45,9 @@
         return
 
     def log_error(self, msg: str, *args: Any) -> None:
-        return
+        logger.bind(peer=str(self.client_address)).info(
+            "request not served: {}", msg % args if args else msg
+        )
 
 
 class HttpServer(pywsgi.WSGIServer):
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -52,6 +52,13 @@
 HUNGER_AGAIN_S = 0.02
 """Seconds between tellings of all agents that runs wait: four of the shortest waits for room."""
 
+LAST_REQUESTS_S = 0.1
+"""Seconds without a job before a leaving entry takes none any more: requests on connections that
+were open when the balancer was told come a few ms apart, and rarely so late."""
+
+LEAVE_CHECK_S = 0.02
+"""Seconds between looks whether a leaving entry has no jobs left, a fifth of that time."""
+
 NO_AGENT_S = 0.5
 """Seconds a job waits while no agent serves its service at all: a restarted agent needs less."""
 
@@ -116,6 +123,7 @@
         self.jobs: dict[str, Ticket] = {}
         self.leaving = False
         self._leaves_at = float("inf")
+        self._idle_since: float | None = None
         self._backlog: dict[str, JobState] = {}
         self._out: dict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
         self._opened_at: dict[str, float] = {}
@@ -539,10 +547,31 @@
 
         Callers keep their connections for some time after the balancer has been told.
         """
-        self.leaving = True
-        self._leaves_at = until
+        self.begin_leaving(until)
         gevent.sleep(linger_s)
-        while self.jobs and self._clock.now() < until:
-            gevent.sleep(0.02)
+        while not self.has_left() and self._clock.now() < until:
+            gevent.sleep(LEAVE_CHECK_S)
+        self._leaves_at = self._clock.now()
         for ticket in list(self.jobs.values()):
             self._give_up(ticket.job, "the entry ends")
+
+    def begin_leaving(self, until: float) -> None:
+        """Take only what can be expected to end before ``until``."""
+        self.leaving = True
+        self._leaves_at = until
+
+    def has_left(self) -> bool:
+        """Whether no job has been here for a while; from then on none is taken.
+
+        A job taken between the last answer and the end of the process would be cut off.
+        """
+        now = self._clock.now()
+        if self.jobs:
+            self._idle_since = None
+            return False
+        if self._idle_since is None:
+            self._idle_since = now
+        if now - self._idle_since < LAST_REQUESTS_S:
+            return False
+        self._leaves_at = now
+        return True
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -591,3 +591,25 @@
     restarted._feed.current = None
     world.run(0.5)
     assert restarted._feed.version == 9
+
+
+def test_a_leaving_entry_takes_jobs_until_none_has_come_for_a_while_and_then_none() -> None:
+    """A job taken between the last answer and the end of the process was cut off."""
+    world = ready_world()
+    entry = world.entries["e0"].entry
+    assert entry is not None
+    entry.begin_leaving(world.time + 5.0)
+    first = world.submit("e0", tasks=1, run_s=0.05)
+    world.run(0.1)
+    assert outcome(first) is Outcome.COMPLETED
+    assert not entry.has_left()
+    world.run(0.05)
+    last = world.submit("e0", tasks=1, run_s=0.05)
+    assert entry.takes(last.spec)
+    assert not entry.has_left()
+    world.run(0.1)
+    assert outcome(last) is Outcome.COMPLETED
+    assert not entry.has_left()
+    world.run(0.11)
+    assert entry.has_left()
+    assert not entry.takes(last.spec)
