The entry parted: board, placing, ends of runs, carrying out of decisions, tickets

No change of behaviour; tests reach two private members at their new places. The two counters of late service are in the table of metrics.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -11,7 +11,7 @@
 from gentianmux.leased.agent import REPORT_S, Agent
 from gentianmux.leased.chain import ECHO_S
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
-from gentianmux.leased.entry import STEP_S, Entry, Ticket
+from gentianmux.leased.entry import STEP_S, Entry
 from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.links import NOTHING_HEARD_S, RENEW_AGAIN_S, SILENT_S
 from gentianmux.leased.model import (
@@ -32,6 +32,7 @@
 )
 from gentianmux.leased.room import NO_ROOM, Room
 from gentianmux.leased.settings import LeasedSettings, lease_s
+from gentianmux.leased.ticket import Ticket
 from gentianmux.memory_log import MemoryKeyedLog
 from gentianmux.messages import PROTOCOL_VERSION, Hello, Message
 from gentianmux.metrics import Metrics
@@ -538,7 +539,7 @@
         view = FleetView(lease_s(cfg), Random(me.process))
         metrics = Metrics(Settings())
         feed = self._feed(clock)
-        entry = Entry(cfg, view, links, feed, metrics, clock)  # type: ignore[arg-type]
+        entry = Entry(view, links, feed, metrics, clock)  # type: ignore[arg-type]
         node.entry, node.links, node.view = entry, links, view
         for machine in self.machines.values():
             # As announced in the store.
--- /dev/null
+++ b/src/gentianmux/leased/admitting.py
@@ -0,0 +1,80 @@
+"""Carries out what is decided of waiting jobs: keeps, serves late, or refuses them early."""
+
+from collections import defaultdict
+
+from loguru import logger
+
+from .admission import Admission, Decision, retry_after_s, urgency, wait_s
+from .entry_board import EntryBoard
+from .job_state import JobState, Prospect
+
+NO_AGENT_S = 0.5
+"""Seconds a job waits while no agent serves its service at all: a restarted agent needs less."""
+
+
+class Admitting:
+    """Decides the backlog of an entry, service by service.
+
+    Parameters
+    ----------
+    board : EntryBoard
+        The jobs and the agents.
+
+    Attributes
+    ----------
+    admissions : dict
+        The decisions of each service.
+    """
+
+    def __init__(self, board: EntryBoard) -> None:
+        self.admissions: defaultdict[str, Admission] = defaultdict(Admission)
+        self._board = board
+        self._no_agent_since: dict[str, float] = {}
+
+    def decide(self, now: float) -> None:
+        """Refuse early what cannot be in time, and what no agent can serve."""
+        entries = max(1, self._board.view.entries(now))
+        by_service: dict[str, list[JobState]] = defaultdict(list)
+        for job in sorted(self._board.backlog.values(), key=urgency):
+            by_service[job.queue.service].append(job)
+        for service, jobs in by_service.items():
+            capacity = self._board.view.capacity_cpu(service, now) / entries
+            coming = self._board.view.coming_cpu(service, now) / entries
+            if not capacity:
+                self._refuse_without_agents(service, jobs, now)
+                continue
+            self._no_agent_since.pop(service, None)
+            decision = self.admissions[service].decide(jobs, capacity, now, coming)
+            self._carry_out(decision, now, entries)
+
+    def _carry_out(self, decision: Decision, now: float, entries: int) -> None:
+        for job in decision.kept:
+            job.prospect = Prospect.TIMELY
+        for job in decision.late:
+            job.prospect = Prospect.LATE
+            self._board.metrics.count("jobs_late_decided")
+            logger.bind(
+                job=job.spec.job_id,
+                slack_ms=round((job.latest_start - now) * 1000),
+                useful_ms=round((job.last_useful_start - now) * 1000),
+            ).info("late service decided")
+        for job in decision.given_up:
+            self._board.metrics.count("jobs_kept_in_vain", label=job.prospect.value)
+            self._board.give_up(job, "waited until its answer would be of no use")
+        for job, load in decision.refused:
+            logger.bind(
+                job=job.spec.job_id,
+                ahead_cpu_s=round(load.ahead_cpu_s, 2),
+                capacity_cpu=round(load.capacity_cpu, 1),
+                begins_in_ms=round(wait_s(load) * 1000),
+                slack_ms=round((job.latest_start - now) * 1000),
+                useful_ms=round((job.last_useful_start - now) * 1000),
+                entries=entries,
+            ).info("refusal decided")
+            self._board.give_up(job, "its answer would be of no use", retry_after_s(load))
+
+    def _refuse_without_agents(self, service: str, jobs: list[JobState], now: float) -> None:
+        since = self._no_agent_since.setdefault(service, now)
+        for job in jobs:
+            if now - max(since, job.arrived) > NO_AGENT_S:
+                self._board.give_up(job, "no agent serves its service")
--- a/src/gentianmux/leased/caller_watch.py
+++ b/src/gentianmux/leased/caller_watch.py
@@ -6,8 +6,9 @@
 import gevent
 from loguru import logger
 
-from .entry import Entry, Ticket, Verdict
+from .entry import Entry
 from .job_state import Outcome
+from .ticket import Ticket, Verdict
 
 LAST_WORD_S = 0.5
 """Seconds beyond its deadline in which a job's verdict must have come; the entry checks deadlines
--- /dev/null
+++ b/src/gentianmux/leased/entry_board.py
@@ -0,0 +1,110 @@
+"""What the controllers of an entry share: its jobs, where their runs are, and how jobs end."""
+
+from collections import defaultdict
+
+from loguru import logger
+
+from ..clock import Clock
+from ..messages import LoadEcho, RunRef, Withdraw
+from ..metrics import Metrics
+from .config_feed import ConfigFeed
+from .fleet_view import AgentView, Demand, FleetView
+from .job_state import JobState, Outcome, Prospect
+from .links import Links
+from .ticket import Ticket, Verdict
+
+RETRY_AFTER_S = 1
+"""Seconds until a refused caller may try again: the work ahead of it is over by then."""
+
+
+class EntryBoard:
+    """Read and written by all controllers of an entry.
+
+    Parameters
+    ----------
+    view : FleetView
+        What is known of the agents.
+    links : Links
+        Connections to agents.
+    feed : ConfigFeed
+        The newest configuration.
+    metrics : Metrics
+        Counters.
+    clock : Clock
+        Time and deferred calls.
+
+    Attributes
+    ----------
+    jobs : dict
+        Jobs at work, by their ids.
+    backlog : dict
+        Those of them of which tasks wait for room.
+    out : dict
+        For each agent's process the runs that it has, by task and number, with their jobs.
+    """
+
+    def __init__(
+        self, view: FleetView, links: Links, feed: ConfigFeed, metrics: Metrics, clock: Clock
+    ) -> None:
+        self.view = view
+        self.links = links
+        self.feed = feed
+        self.metrics = metrics
+        self.clock = clock
+        self.jobs: dict[str, Ticket] = {}
+        self.backlog: dict[str, JobState] = {}
+        self.out: defaultdict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
+
+    def finish(self, job: JobState, verdict: Verdict) -> None:
+        """End a job: take its runs back, and hand its verdict to those who wait."""
+        ticket = self.jobs.pop(job.spec.job_id, None)
+        if ticket is None:
+            return
+        self.backlog.pop(job.spec.job_id, None)
+        self._withdraw(job)
+        ticket.verdict = verdict
+        took_s = self.clock.now() - job.arrived
+        self.metrics.count("jobs_ended", label=verdict.outcome.value)
+        self.metrics.observe("job_seconds", took_s, label=job.queue.name)
+        logger.bind(
+            job=job.spec.job_id,
+            queue=job.queue.name,
+            outcome=verdict.outcome.value,
+            reason=verdict.reason,
+            took_ms=round(took_s * 1000),
+            objective_ms=round(job.objective_s * 1000),
+            time_limit_ms=round((job.deadline - job.arrived) * 1000),
+            began=job.began,
+            tasks=len(job.tasks),
+        ).info("job ended")
+        ticket.done.set()
+
+    def _withdraw(self, job: JobState) -> None:
+        by_agent: dict[str, list[RunRef]] = defaultdict(list)
+        for task in job.out():
+            by_agent[task.agent].append(RunRef(task.name, task.run))
+            self.out[task.agent].pop((task.name, task.run), None)
+        for agent, refs in by_agent.items():
+            self.metrics.count("runs_withdrawn", len(refs))
+            self.links.send(agent, Withdraw(refs))
+
+    def give_up(self, job: JobState, reason: str, again_s: int = RETRY_AFTER_S) -> None:
+        """End a job that is not served: as not run where that is proved, else as unknown."""
+        if job.proved_not_run:
+            self.finish(job, Verdict(Outcome.NOT_RUN, reason, again_s))
+        else:
+            self.finish(job, Verdict(Outcome.UNKNOWN, reason))
+
+    def demand(self) -> Demand:
+        """What waits for room here."""
+        if not self.backlog:
+            return Demand.NONE
+        late = all(job.prospect is Prospect.LATE for job in self.backlog.values())
+        return Demand.LATE if late else Demand.TIMELY
+
+    def echo(self, agent: AgentView, demand: Demand) -> None:
+        """Echo an agent's newest report, and tell it what waits for room."""
+        agent.told = demand
+        hungry, late = demand is not Demand.NONE, demand is Demand.LATE
+        msg = LoadEcho(agent.newest_load, self.feed.version, hungry, late)
+        self.links.send(agent.process, msg)
--- /dev/null
+++ b/src/gentianmux/leased/run_ends.py
@@ -0,0 +1,96 @@
+"""Takes in how runs ended, and ends those of agents that are lost or never had them."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from ..messages import Holding, Withdraw
+from .entry_board import EntryBoard
+from .job_state import Outcome
+from .model import How, node_of
+from .ticket import Verdict
+
+SETTLE_S = 0.05
+"""Seconds after a connection opens for its agent's ended runs to arrive."""
+
+REFUSED_PAUSE_S = 0.05
+"""Seconds for which an agent that refused for other reasons than room gets nothing new."""
+
+
+class RunEnds:
+    """Ends runs, and with the last of them their job.
+
+    Parameters
+    ----------
+    board : EntryBoard
+        The jobs and where their runs are.
+
+    Attributes
+    ----------
+    on_back : callable
+        Called when tasks may have come back to wait for room.
+    opened_at : dict
+        When the present connection of each agent's process was opened.
+    """
+
+    def __init__(self, board: EntryBoard) -> None:
+        self.on_back: Callable[[], None] = lambda: None
+        self.opened_at: dict[str, float] = {}
+        self._board = board
+
+    def compare(self, msg: Holding, agent: str) -> None:
+        """Compare what an agent holds with what it was assigned, after a connection has opened."""
+        held = {(ref.task, ref.run) for ref in msg.runs}
+        opened_at = self.opened_at.get(agent, 0.0)
+        missing = [
+            (name, run)
+            for (name, run), job in self._board.out[agent].items()
+            if (name, run) not in held and job.tasks[name].sent_at < opened_at
+        ]
+        if missing:
+            self._board.clock.later(SETTLE_S, self._end_missing, agent, missing)
+        # A withdrawal may have been lost with the connection, and its job be at work elsewhere.
+        unwanted = [ref for ref in msg.runs if (ref.task, ref.run) not in self._board.out[agent]]
+        if unwanted:
+            self._board.links.send(agent, Withdraw(unwanted))
+
+    def _end_missing(self, agent: str, missing: list[tuple[str, int]]) -> None:
+        """End runs that an agent neither holds nor has ended: they never reached it."""
+        for name, run in missing:
+            self.take(agent, name, run, How.NOT_STARTED)
+        self.on_back()
+
+    def take(self, agent: str, name: str, run: int, how: How) -> None:
+        """Take in how a run of an agent ended."""
+        job = self._board.out[agent].pop((name, run), None)
+        if job is None or not job.ended(name, run, how):
+            self._board.metrics.count("late_ends", label=how.name.lower())
+            return
+        self._board.metrics.count("runs_back", label=how.name.lower())
+        if how in (How.NOT_STARTED, How.DRAINING):
+            self._board.view.of(agent).failed_until = self._board.clock.now() + REFUSED_PAUSE_S
+        if how not in (How.DONE, How.NO_ROOM):
+            logger.bind(task=name, run=run, peer=agent, how=how.name.lower()).info("run came back")
+        if job.failed:
+            self._board.finish(job, Verdict(Outcome.FAILED, f"{name} failed too often"))
+        elif job.is_done:
+            self._board.finish(job, Verdict(Outcome.COMPLETED, "every task is done"))
+        elif any(True for _ in job.ready()) and job.spec.job_id in self._board.jobs:
+            self._board.backlog[job.spec.job_id] = job
+
+    def lose_earlier_lives(self, agent: str) -> None:
+        """End what earlier processes of an agent's instance held: it has made sure of that."""
+        for process in list(self._board.view.agents):
+            if process != agent and node_of(process) == node_of(agent):
+                self.lose(process, "a later process of the agent is at work")
+
+    def lose(self, process: str, reason: str) -> None:
+        """End everything that an agent's process was assigned: nothing of it can run any more."""
+        self._board.view.forget(process)
+        held = list(self._board.out[process])
+        if held:
+            logger.bind(peer=process, runs=len(held), reason=reason).warning("runs lost")
+        for name, run in held:
+            self.take(process, name, run, How.LOST)
+        self._board.out.pop(process, None)
+        self.opened_at.pop(process, None)
--- /dev/null
+++ b/src/gentianmux/leased/ticket.py
@@ -0,0 +1,30 @@
+"""A job at work and its verdict, for those who wait for the answer."""
+
+from typing import NamedTuple
+
+from gevent.event import Event
+
+from .job_state import JobState, Outcome
+
+
+class Verdict(NamedTuple):
+    """What is answered for a job."""
+
+    outcome: Outcome
+    reason: str
+    retry_after_s: int = 0
+
+
+class Ticket:
+    """A job at work, for those who wait for its answer.
+
+    Examples
+    --------
+    ``ticket.done.wait(timeout_s)`` and then ``ticket.verdict``.
+    """
+
+    def __init__(self, job: JobState) -> None:
+        self.job = job
+        self.done = Event()
+        self.verdict: Verdict | None = None
+        self.waiters = 0
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -40,6 +40,12 @@
     "ejections": Metric("counter", "agents", "Agents no longer chosen since their tasks fail."),
     "jobs_admitted": Metric("counter", "jobs", "Leased jobs taken on."),
     "jobs_joined": Metric("counter", "jobs", "Submissions that joined a job already at work."),
+    "jobs_late_decided": Metric(
+        "counter", "jobs", "Leased jobs kept to be served late, since they could not be in time."
+    ),
+    "jobs_kept_in_vain": Metric(
+        "counter", "jobs", "Leased jobs given up after they were kept, by what was expected."
+    ),
     "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
     "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
     "runs_assigned": Metric("counter", "runs", "Runs handed to agents."),
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -416,7 +416,7 @@
     for view in world.entries["e0"].view.agents.values():  # type: ignore[union-attr]
         view.offered, view.heard_at = ENDPOINT_ROOM, world.time
         view.pending.clear()
-    entry._place()
+    entry._placing.place()
     assert not late.ticket.job.began
 
 
@@ -575,7 +575,7 @@
 
 def test_a_configuration_reaches_an_entry_that_the_store_turns_away() -> None:
     world = ready_world(agents=3, entries=3)
-    feeds = [node.entry._feed for node in world.entries.values() if node.entry]
+    feeds = [node.entry._board.feed for node in world.entries.values() if node.entry]
     assert [feed.version for feed in feeds] == [1, 1, 1]
     world.config = world.config._replace(version=7, raw=b"7")
     feeds[1].offered(b"7", "store")
@@ -588,9 +588,9 @@
     world.start_entry("e2")
     restarted = world.entries["e2"].entry
     assert restarted is not None
-    restarted._feed.current = None
+    restarted._board.feed.current = None
     world.run(0.5)
-    assert restarted._feed.version == 9
+    assert restarted._board.feed.version == 9
 
 
 def test_a_leaving_entry_takes_jobs_until_none_has_come_for_a_while_and_then_none() -> None:
