--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -22,24 +22,15 @@
 
 from bench.leased_world import Asked, World
 from bench.processes import ROOT
+from bench.scenario import USUAL, Kind, Power, Scenario
 from gentianmux.leased.job_state import Outcome
-from gentianmux.leased.model import QueueRules
 from gentianmux.leased.room import Room
 
 RESULT = ROOT / "bench" / "results" / "leased_load.json"
-AGENTS = 11
-ROOMS = (16000, 16000, 16000, 24000, 16000, 16000, 16000, 24000, 24000, 16000, 16000)
-SPEEDS = (1.0, 1.0, 1 / 1.3, 1.0, 1.0, 1 / 1.3, 1.0, 1.0, 1 / 1.3, 1.0, 1.0)
-"""Thousandths of a core, and work done in a second, of each endpoint, as played by the users."""
-
-SHARES = (0.28, 0.335, 0.385)
-"""Parts of the traffic of three entries, uneven as between the users' zones."""
 
 LOADS = (0.8, 1.0, 1.4, 1.8, 2.2)
 """Multiples of the usual traffic during the burst."""
 
-SECONDS = 10.0
-BURST = (3.0, 7.0)
 WINDOW_S = 2.0
 WARM_S = 1.0
 TAIL_S = 12.0
@@ -66,28 +57,6 @@
 """How the deployments weigh them: the one by response time, the other by every answer."""
 
 
-class Kind(NamedTuple):
-    """One kind of job: how many come a second, and how it is drawn."""
-
-    queue: QueueRules
-    per_s: float
-    tasks: int
-    most_tasks: int
-    work_s: float
-    worth: float
-
-
-def _queue(name: str, priority: int) -> QueueRules:
-    return QueueRules(name, "h.example", f"/{name}/", "s", 9000, 60, priority, 3, 1.6)
-
-
-KINDS = (
-    Kind(_queue("weigh", 0), 17.2, 8, 32, 0.12, 0.0291),
-    Kind(_queue("check", 2), 3.12, 4, 16, 1.8, 0.16),
-    Kind(_queue("receipt", 1), 50.0, 2, 8, 0.4, 0.01),
-)
-
-
 class Arrival(NamedTuple):
     """One job: when, where and what, with the true run time of each task in seconds."""
 
@@ -128,52 +97,102 @@
     served: float
 
 
-def arrivals(rng: Random, load: float) -> list[Arrival]:
+def arrivals(rng: Random, load: float, scenario: Scenario = USUAL) -> list[Arrival]:
     """Poisson arrivals of all kinds; the burst multiplies them."""
     found = []
-    for kind in KINDS:
+    began, ended = scenario.burst
+    for kind in scenario.kinds:
         at = 0.0
-        while at < SECONDS:
-            factor = load if BURST[0] <= at < BURST[1] else min(load, 1.0)
+        while at < scenario.seconds:
+            factor = load if began <= at < ended else min(load, 1.0)
             at += rng.expovariate(kind.per_s * factor)
-            found.append(_arrival(rng, kind, at))
+            found.append(_arrival(rng, kind, at, scenario))
     return sorted(found, key=lambda each: each.at)
 
 
-def _arrival(rng: Random, kind: Kind, at: float) -> Arrival:
-    entry = f"e{rng.choices(range(len(SHARES)), SHARES)[0]}"
+def _arrival(rng: Random, kind: Kind, at: float, scenario: Scenario) -> Arrival:
+    entry = f"e{rng.choices(range(len(scenario.shares)), scenario.shares)[0]}"
     tasks = max(1, min(kind.most_tasks, round(kind.tasks * rng.lognormvariate(-0.08, 0.4))))
     work_s = min(4 * kind.work_s, kind.work_s * rng.lognormvariate(-0.08, 0.4))
     works = tuple(work_s * rng.uniform(0.85, 1.15) for _ in range(tasks))
-    cpu = int(min(2300.0, max(800.0, rng.gauss(1600, 320))))
-    return Arrival(at, entry, kind, cpu, works, int(1000 * work_s * rng.uniform(0.6, 1.4)))
+    usual, deviation, least, most = scenario.task_cpu
+    cpu = int(min(most, max(least, rng.gauss(usual, deviation))))
+    misjudged = rng.uniform(1 - scenario.misjudged, 1 + scenario.misjudged)
+    return Arrival(at, entry, kind, cpu, works, int(1000 * work_s * misjudged))
 
 
-def make_world(seed: int) -> World:
-    """Endpoints of two sizes and two speeds."""
-    world = World(AGENTS, len(SHARES), seed)
-    for machine, cpu, speed in zip(world.machines.values(), ROOMS, SPEEDS, strict=True):
+def make_world(seed: int, scenario: Scenario = USUAL) -> World:
+    """The scenario's entries and endpoints, connected."""
+    world = World(len(scenario.rooms), len(scenario.shares), seed)
+    sizes = zip(world.machines.values(), scenario.rooms, scenario.speeds, strict=True)
+    for machine, cpu, speed in sizes:
         machine.endpoint.capacity = Room(cpu, 65536, 0)
         machine.endpoint.speed = speed
     world.run(WARM_S)
     return world
 
 
-def play(load: float, seed: int) -> Result:
+class _Callers:
+    """Hands jobs in, again when their entry was lost; keeps the last try of each."""
+
+    def __init__(self, world: World, power: Power | None) -> None:
+        self._world = world
+        self._power = power
+        self._began_at = world.time
+        self.tries: dict[int, tuple[Arrival, Asked]] = {}
+
+    def come(self, number: int, job: Arrival) -> None:
+        """Send a job that comes now, or as soon as an entry can be reached."""
+        pause_s = self._unreachable_s()
+        if pause_s:
+            self._world.at(pause_s, "", self._send, number, job, self._world.time)
+        else:
+            self._send(number, job, self._world.time)
+
+    def _unreachable_s(self) -> float:
+        if self._power is None:
+            return 0.0
+        since = self._world.time - self._began_at - self._power.lost_at_s
+        return self._power.back_s - since if 0 <= since < self._power.back_s else 0.0
+
+    def _send(self, number: int, job: Arrival, first_at: float) -> None:
+        asked = submit(self._world, job)
+        # Answers count from the caller's first try.
+        asked.at = first_at
+        self.tries[number] = job, asked
+
+    def lose_power(self, power: Power) -> None:
+        """End all processes and endpoints, start them again, and send again what was at work."""
+        world = self._world
+        for number, (job, asked) in list(self.tries.items()):
+            if asked.ticket.verdict is None:
+                pause_s = max(power.resend_s, power.back_s)
+                world.at(pause_s, "", self._send, number, job, asked.at)
+        for name in [*world.machines, *world.entries]:
+            world.kill(world.process_of(name))
+        for name, machine in world.machines.items():
+            speed = machine.endpoint.speed
+            world.replace_endpoint(name).speed = speed
+            world.at(power.back_s, "", world.start_agent, name)
+        for name in world.entries:
+            # Just before the callers' tries reach it.
+            world.at(power.back_s - 0.001, "", world.start_entry, name)
+
+
+def play(load: float, seed: int, scenario: Scenario = USUAL) -> Result:
     """Play one run and account for it."""
-    jobs = arrivals(Random(seed), load)
-    world = make_world(seed)
-    asked: list[tuple[Arrival, Asked]] = []
-    for job in jobs:
-        world.at(job.at, "", _hand_in, world, job, asked)
-    world.run(SECONDS + TAIL_S)
+    jobs = arrivals(Random(seed), load, scenario)
+    world = make_world(seed, scenario)
+    callers = _Callers(world, scenario.power)
+    for number, job in enumerate(jobs):
+        world.at(job.at, "", callers.come, number, job)
+    if scenario.power is not None:
+        world.at(scenario.power.lost_at_s, "", callers.lose_power, scenario.power)
+    world.run(scenario.seconds + TAIL_S)
     if world.breaches:
         raise AssertionError(world.breaches[:3])
-    return account(load, asked, world.wasted_runs, one_queue(jobs))
-
-
-def _hand_in(world: World, job: Arrival, asked: list[tuple[Arrival, Asked]]) -> None:
-    asked.append((job, submit(world, job)))
+    tries = list(callers.tries.values())
+    return account(load, tries, world.wasted_runs, one_queue(jobs, scenario))
 
 
 def submit(world: World, job: Arrival) -> Asked:
@@ -215,7 +234,7 @@
         waited_s = handed_in.ended_at - handed_in.at
         ways["refused late"] += not done and waited_s > REFUSED_LATE * job.objective_s
     parts = {key: got[key] / owed[key] for key in owed}
-    worst_kind = min(parts[kind.queue.name] for kind in KINDS)
+    worst_kind = min(parts[name] for name in {job.kind.queue.name for job, _ in asked})
     unserved = ways["refused"] / len(asked)
     windows = sorted(part for key, part in parts.items() if isinstance(key, int))
     return Result(
@@ -241,9 +260,9 @@
     return sum(w * part for w, part in zip(weights, (credit, window, kind, nines), strict=True))
 
 
-def one_queue(jobs: list[Arrival]) -> float:
+def one_queue(jobs: list[Arrival], scenario: Scenario = USUAL) -> float:
     """Part of the credit that one queue earns which knows every run time."""
-    free, speeds = list(ROOMS), list(SPEEDS)
+    free, speeds = list(scenario.rooms), list(scenario.speeds)
     ends: list[tuple[float, int, int]] = []
     waiting: list[tuple[float, int, Arrival]] = []
     coming = [(job.at, number, job) for number, job in enumerate(jobs)]
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -30,7 +30,7 @@
     m.SeenRuns(1),
     m.Holding(8, [m.RunRef("a.0.0.1", 2)]),
     m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
-    m.LoadEcho(9, 3, True),
+    m.LoadEcho(9, 3, True, True),
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
     m.SharedConfig(3, b"{}"),
     m.Gossip(
--- a/tests/test_leased_load.py
+++ b/tests/test_leased_load.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.leased_load import play
-from bench.leased_restart import play_restart
+from bench.scenario import USUAL, Power
 
 
 @pytest.mark.parametrize("seed", [0, 1])
@@ -34,6 +34,7 @@
 
 def test_after_a_loss_of_power_more_jobs_are_served() -> None:
     """Measured with every job refused that could not be in time: 0.230 refused, 0.030 late."""
-    runs = [play_restart(seed) for seed in range(3)]
+    scenario = USUAL._replace(power=Power(lost_at_s=4.0))
+    runs = [play(1.0, seed, scenario) for seed in range(3)]
     assert mean(run.refused for run in runs) < 0.22
     assert mean(run.in_time for run in runs) > 0.72
