Records of other writers name no endpoint and no instance; no loop ends by one of them

Cause: decoders took fields as they came. A heartbeat with the state "sleeping" or 1 counted as ready, a service of ["svc"] became its text, negative sizes, "4" and true as sequence were taken, an infinite size raised OverflowError that nobody caught. In announcements any role and address were taken, and one record of deeply nested JSON raised RecursionError in the follower, which catches only the store's errors and ended for good at every entry. Shown by calling both decoders before. Ruled out: a validation library; what has to be checked is nine fields of five types, and each import is paid for at every start. Change: typed_json reads a field with its type or raises ValueError; heartbeats, announcements, configurations and answers are read with it. A foreign heartbeat is logged once a writer and counted, and what is known stays; one of a known endpoint with another service, or of a service that neither settings nor configuration name, is foreign too. Followers read on after an error that is not the store's, and do not meet the same record again. Errors in handling a message are logged. Before: the decoders called by hand with seven foreign fields and three foreign announcements: all but two taken, those two raised what nobody caught. After: tests/test_foreign_records.py.

--- a/src/gentianmux/clock.py
+++ b/src/gentianmux/clock.py
@@ -9,6 +9,10 @@
 
 from .codes import ResultCode
 
+AFTER_FAILURE_S = 0.05
+"""Seconds after a repeated call that failed: without a pause of its own it would fail, and log,
+thousands of times a second."""
+
 
 class Clock:
     """The clocks of this process, and calls that run later on its event loop.
@@ -49,3 +53,4 @@
             call()
         except Exception:
             logger.bind(code=int(ResultCode.INTERNAL)).exception("a repeated step failed")
+            gevent.sleep(AFTER_FAILURE_S)
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from ..clock import Clock, repeat
+from ..codes import ResultCode
 from ..messages import (
     Assign,
     EndpointState,
@@ -60,6 +61,9 @@
 """Seconds that an idle leaving agent waits for orders on their way, which it refuses: ten one-way
 delays between failure domains, and some for a busy processor."""
 
+MAX_WRITERS = 100
+"""Writers of unreadable heartbeats that are remembered, so that each is logged once."""
+
 PROBES = 3
 """Times that an endpoint is asked whether a heartbeat of another life is its own; a third of the
 answers may be lost, and the next heartbeat is seconds away."""
@@ -123,6 +127,7 @@
         hooks = LookHooks(self._stop_unechoed, self._detach, self._on_looked, self._on_silence)
         self.looks = EndpointLooks(driver, self.table, metrics, clock, self._lease_s, hooks)
         self._replacing: set[RunKey] = set()
+        self._unreadable: set[str] = set()
         self._reports = EntryReports(links, clock, self._load)
         self._chain = self._reports.chain
         links.on_open = self._on_open
@@ -133,6 +138,9 @@
 
     def on_report(self, report: EndpointReport) -> None:
         """Take in a heartbeat of the endpoint beside this agent."""
+        if not self._is_named(report):
+            self.on_unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
+            return
         known = self.report
         if known is not None and known.endpoint == report.endpoint:
             if report.sequence < known.sequence:
@@ -154,6 +162,30 @@
         self._tell_state()
         self._reports.load_soon()
 
+    def on_unreadable(self, endpoint: str, reason: str) -> None:
+        """Pass over a heartbeat that says nothing usable; what is known of the endpoint stays.
+
+        Logged once a writer: one that is not ours may send for as long as the process lives.
+        """
+        self._metrics.count("heartbeats_unreadable")
+        if endpoint in self._unreadable or len(self._unreadable) >= MAX_WRITERS:
+            return
+        self._unreadable.add(endpoint)
+        code = int(ResultCode.BAD_FIELD)
+        logger.bind(endpoint=endpoint[:100], code=code, reason=reason).warning(
+            "heartbeat unreadable"
+        )
+
+    def _is_named(self, report: EndpointReport) -> bool:
+        """Whether the endpoint's service is one that the settings or the operators name."""
+        known = self.report
+        if known is not None and known.endpoint == report.endpoint:
+            return report.service == known.service
+        config = self._feed.current
+        if not self._cfg.service or config is None:
+            return True
+        return report.service in {self._cfg.service, *(queue.service for queue in config.queues)}
+
     def _is_stale(self, report: EndpointReport) -> bool:
         """Whether a heartbeat of another life is late: its sender has ended.
 
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -6,7 +6,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from ..clock import Clock
+from ..clock import Clock, repeat
 from ..errors import GentianmuxError, LogError
 from ..memory_log import KeyedLog
 from ..messages import SharedConfig
@@ -63,6 +63,7 @@
         self._store = store
         self._metrics = metrics
         self._clock = clock
+        self._offset: int | None = None
 
     @property
     def version(self) -> int:
@@ -102,14 +103,16 @@
 
     def run(self) -> None:
         """Follow the store for as long as the process lives."""
-        offset: int | None = None
-        while True:
-            try:
-                offset = self._read_newest() if offset is None else self._follow(offset)
-            except LogError as exc:
-                offset = None
-                self._metrics.count("store_errors", label=exc.code.label)
-                gevent.sleep(AGAIN_S)
+        repeat(0.0, self.follow_once)
+
+    def follow_once(self) -> None:
+        """Take in what has come since the last call, waiting for it."""
+        offset, self._offset = self._offset, None
+        try:
+            self._offset = self._read_newest() if offset is None else self._follow(offset)
+        except LogError as exc:
+            self._metrics.count("store_errors", label=exc.code.label)
+            gevent.sleep(AGAIN_S)
 
     def _read_newest(self) -> int:
         newest = self._store.newest(self._source.topic)
--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -2,14 +2,17 @@
 
 import json
 from collections.abc import Callable, Iterable, Iterator
+from socket import AF_INET, inet_pton
 from typing import Any, NamedTuple
 
 import gevent
 from loguru import logger
 
+from ..clock import repeat
 from ..errors import LogError
 from ..memory_log import KeyedLog
 from ..metrics import Metrics
+from ..typed_json import flag, number, read_object, table, text, texts, whole
 from .config_feed import AGAIN_S, WATCH_S
 from .model import EndpointReport
 from .room import Room
@@ -17,6 +20,9 @@
 TOPIC = "gentianmux-members"
 """Topic of the announcements, one key an instance."""
 
+ROLES = ("entry", "agent")
+"""Roles that an announcement may name."""
+
 
 class Announcement(NamedTuple):
     """Where an instance listens, and for an agent the endpoint that it has seen last."""
@@ -37,18 +43,48 @@
 def decode_announcement(name: str, value: bytes) -> Announcement | None:
     """Read an announcement; None, with a log line, when it cannot be read."""
     try:
-        content = json.loads(value)
-        report = content.get("report")
-        if report is not None:
-            report["capacity"] = Room(*report["capacity"])
-            report["labels"] = tuple(report["labels"])
-            report = EndpointReport(**report)
-        return Announcement(name, str(content["role"]), str(content["address"]), report)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        logger.bind(peer=name, reason=repr(exc)).warning("announcement unreadable")
+        content = read_object(value)
+        role, address = text(content, "role"), text(content, "address")
+        if role not in ROLES:
+            raise ValueError(f"role {role[:40]!r} is not known")
+        _check_address(address)
+        has_report = content.get("report") is not None
+        report = _decode_report(table(content, "report")) if has_report else None
+        return Announcement(name, role, address, report)
+    except ValueError as exc:
+        logger.bind(peer=name[:100], reason=str(exc)).warning("announcement unreadable")
         return None
 
 
+def _check_address(address: str) -> None:
+    """Raise ``ValueError`` unless an address is an IP number and a port."""
+    ip, _, port = address.partition(":")
+    try:
+        inet_pton(AF_INET, ip)
+    except OSError as exc:
+        raise ValueError(f"{address[:60]!r} has no IP number") from exc
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address[:60]!r} has no port")
+
+
+def _decode_report(report: dict[str, Any]) -> EndpointReport:
+    room = report.get("capacity")
+    if not isinstance(room, list) or len(room) != len(Room._fields):
+        raise ValueError("capacity is no list of amounts")
+    amounts = dict(zip(Room._fields, room, strict=True))
+    return EndpointReport(
+        endpoint=text(report, "endpoint"),
+        address=text(report, "address"),
+        service=text(report, "service"),
+        failure_domain=text(report, "failure_domain"),
+        capacity=Room(*(whole(amounts, name) for name in Room._fields)),
+        labels=texts(report, "labels"),
+        draining=flag(report, "draining"),
+        drain_remaining_s=number(report, "drain_remaining_s"),
+        sequence=whole(report, "sequence"),
+    )
+
+
 class Directory:
     """Announces this instance, and reads or follows the announcements of all.
 
@@ -71,6 +107,7 @@
         self._wanted: Announcement | None = None
         self._written: Announcement | None = None
         self._writing = False
+        self._offset: int | None = None
 
     def announce(self, mine: Announcement) -> None:
         """Write an announcement, again until the store has confirmed it."""
@@ -80,16 +117,20 @@
             gevent.spawn(self._write)
 
     def _write(self) -> None:
-        while self._wanted is not None and self._wanted != self._written:
-            wanted = self._wanted
-            try:
-                self._store.put(TOPIC, wanted.name, wanted.encode())
-                self._written = wanted
-                logger.bind(address=wanted.address).info("announced")
-            except LogError as exc:
-                self._metrics.count("store_errors", label=exc.code.label)
-                gevent.sleep(AGAIN_S)
-        self._writing = False
+        try:
+            while self._wanted is not None and self._wanted != self._written:
+                self._write_once(self._wanted)
+        finally:
+            self._writing = False
+
+    def _write_once(self, wanted: Announcement) -> None:
+        try:
+            self._store.put(TOPIC, wanted.name, wanted.encode())
+            self._written = wanted
+            logger.bind(address=wanted.address).info("announced")
+        except LogError as exc:
+            self._metrics.count("store_errors", label=exc.code.label)
+            gevent.sleep(AGAIN_S)
 
     def read(self) -> list[Announcement] | None:
         """Read the announcements of all instances once; None when they are not to be had."""
@@ -102,22 +143,25 @@
 
     def follow(self) -> None:
         """Hand on every announcement, for as long as the process lives."""
-        offset: int | None = None
-        while True:
-            try:
-                if offset is None:
-                    newest = self._store.newest(TOPIC)
-                    offset, found = newest.end, list(newest.values.items())
-                else:
-                    changes = self._store.changes(TOPIC, offset, WATCH_S)
-                    offset, found = changes.end, changes.values
-            except LogError as exc:
-                offset = None
-                self._metrics.count("store_errors", label=exc.code.label)
-                gevent.sleep(AGAIN_S)
-                continue
-            for each in _decode_all(found):
-                self.on_found(each)
+        repeat(0.0, self.follow_once)
+
+    def follow_once(self) -> None:
+        """Hand on what has come since the last call, waiting for it."""
+        offset, self._offset = self._offset, None
+        try:
+            if offset is None:
+                newest = self._store.newest(TOPIC)
+                offset, found = newest.end, list(newest.values.items())
+            else:
+                changes = self._store.changes(TOPIC, offset, WATCH_S)
+                offset, found = changes.end, changes.values
+        except LogError as exc:
+            self._metrics.count("store_errors", label=exc.code.label)
+            gevent.sleep(AGAIN_S)
+            return
+        self._offset = offset
+        for each in _decode_all(found):
+            self.on_found(each)
 
 
 def _decode_all(found: Iterable[tuple[str, bytes]]) -> Iterator[Announcement]:
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -226,6 +226,12 @@
             self._metrics.count("bad_frames")
         except OSError as exc:
             reason = type(exc).__name__
+        except Exception as exc:
+            # The connection is opened anew; its loop must not end without a word.
+            reason = f"a message could not be handled: {type(exc).__name__}"
+            logger.bind(peer=conn.process, code=int(ResultCode.INTERNAL)).exception(
+                "a message could not be handled"
+            )
         finally:
             conn.close()
             writer.kill(block=False)
--- a/src/gentianmux/platform/config.py
+++ b/src/gentianmux/platform/config.py
@@ -1,12 +1,12 @@
 """The operators' configuration as it lies in the platform's store."""
 
-import json
 from typing import Any
 
 from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..leased.config_feed import ConfigSource
 from ..leased.model import JobConfig, QueueRules, RequestLimits
+from ..typed_json import read_object
 
 
 def decode_config(raw: bytes) -> JobConfig:
@@ -18,7 +18,7 @@
         ``CHANGE_INVALID`` when it cannot be read; the present one then stays in force.
     """
     try:
-        content = json.loads(raw)
+        content = read_object(raw)
         return JobConfig(
             version=int(content["version"]),
             # What the platform calls a route is a queue of jobs.
@@ -26,7 +26,7 @@
             limits=_limits(content.get("limits", {})),
             raw=raw,
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as exc:
         raise GentianmuxError(ResultCode.CHANGE_INVALID, repr(exc)) from exc
 
 
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -18,6 +18,7 @@
     StartVerdict,
 )
 from ..leased.room import Room
+from ..typed_json import number, table, text, texts, whole
 from .http_call import HttpCaller, HttpReply
 
 START_S = 0.08
@@ -38,6 +39,8 @@
 REPLACED = 421
 """Status by which another life of the endpoint answers."""
 
+_STATES = ("ready", "draining")
+
 _HOW = {
     "done": How.DONE,
     "failed": How.FAILED,
@@ -54,19 +57,29 @@
 
 
 def read_report(endpoint: str, content: dict[str, Any], address: str) -> EndpointReport:
-    """Decode a heartbeat; raises ``KeyError``, ``TypeError`` or ``ValueError`` when it is none."""
-    room = content["capacity"]
+    """Decode a heartbeat.
+
+    Raises
+    ------
+    ValueError
+        When a field is missing or of another type, or the state is not known: its writer speaks
+        something else, and what it means by the rest cannot be relied on.
+    """
+    room = table(content, "capacity")
+    state = text(content, "state")
+    if state not in _STATES:
+        raise ValueError(f"state {state[:40]!r} is not known")
     return EndpointReport(
         endpoint=endpoint,
-        address=str(content.get("address") or address),
-        service=str(content["service"]),
+        address=text(content, "address", address),
+        service=text(content, "service"),
         # ``zone`` is what this project calls a failure domain.
-        failure_domain=str(content["zone"]),
-        capacity=Room(int(room["cpu"]), int(room["mem_mb"]), int(room.get("gpu", 0))),
-        labels=tuple(str(label) for label in content.get("labels", [])),
-        draining=content["state"] == "draining",
-        drain_remaining_s=float(content.get("drain_remaining_ms", 0)) / 1000,
-        sequence=int(content["seq"]),
+        failure_domain=text(content, "zone"),
+        capacity=Room(whole(room, "cpu"), whole(room, "mem_mb"), whole(room, "gpu", 0)),
+        labels=texts(content, "labels"),
+        draining=state == "draining",
+        drain_remaining_s=number(content, "drain_remaining_ms", 0) / 1000,
+        sequence=whole(content, "seq"),
     )
 
 
--- a/src/gentianmux/platform/heartbeats.py
+++ b/src/gentianmux/platform/heartbeats.py
@@ -1,17 +1,14 @@
 """Where the endpoint beside an agent reports itself."""
 
-import json
 import re
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from loguru import logger
-
-from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..http_server import read_body
 from ..leased.agent import Agent
 from ..settings import Settings
+from ..typed_json import read_object
 from .endpoint import read_report
 
 _PATH = re.compile(r"/v1/instances/([^/]{1,100})/(heartbeat|deregister)\Z")
@@ -46,10 +43,9 @@
             if call == "deregister":
                 self._agent.on_left(endpoint)
                 return "200 OK"
-            report = read_report(endpoint, json.loads(body), self._endpoint_address)
-        except (GentianmuxError, ValueError, KeyError, TypeError, AttributeError) as exc:
-            code = int(ResultCode.BAD_FIELD)
-            logger.bind(code=code, reason=repr(exc)).warning("heartbeat unreadable")
+            report = read_report(endpoint, read_object(body), self._endpoint_address)
+        except (GentianmuxError, ValueError) as exc:
+            self._agent.on_unreadable(endpoint, str(exc))
             return "400 Bad Request"
         self._agent.on_report(report)
         return "200 OK"
--- a/src/gentianmux/platform/http_call.py
+++ b/src/gentianmux/platform/http_call.py
@@ -1,6 +1,5 @@
 """Bounded HTTP calls by IP number, for the store and the endpoint."""
 
-import json
 from socket import IPPROTO_TCP, TCP_NODELAY
 from time import monotonic
 from typing import Any, NamedTuple
@@ -12,6 +11,7 @@
 
 from ..http_errors import CALL_FAILED
 from ..leased.model import NoAnswer
+from ..typed_json import read_object
 
 CONNECT_S = 0.5
 """Seconds to connect: a round trip is a few ms, a lost opening packet is sent again after 1 s."""
@@ -39,12 +39,9 @@
             When the body holds anything else; it is as good as no answer.
         """
         try:
-            content = json.loads(self.body)
+            return read_object(self.body)
         except ValueError as exc:
-            raise NoAnswer(f"status {self.status} without readable JSON") from exc
-        if not isinstance(content, dict):
-            raise NoAnswer(f"status {self.status} with JSON that is no object")
-        return content
+            raise NoAnswer(f"status {self.status}: {exc}") from exc
 
 
 class HttpCaller:
--- /dev/null
+++ b/tests/test_foreign_records.py
@@ -0,0 +1,213 @@
+"""Records of other writers: they name no endpoint and no instance, and the others hold."""
+
+import json
+from random import Random
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_leased_world import assert_kept, outcome, ready_world
+
+from gentianmux.codes import ResultCode
+from gentianmux.errors import GentianmuxError, LogError
+from gentianmux.leased.config_feed import ConfigFeed
+from gentianmux.leased.directory import TOPIC, Announcement, Directory, decode_announcement
+from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.model import EndpointReport
+from gentianmux.leased.room import Room
+from gentianmux.memory_log import Changes, Newest
+from gentianmux.metrics import Metrics
+from gentianmux.platform.config import CONFIG_SOURCE, decode_config
+from gentianmux.platform.endpoint import read_report
+from gentianmux.settings import Settings
+from gentianmux.typed_json import read_object
+
+HEARTBEAT: dict[str, Any] = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "hall-a",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 100, "gpu": 0},
+    "labels": ["a", "r1"],
+    "seq": 4,
+}
+REPORT = EndpointReport("i-1", "10.0.0.1:80", "svc", "fd", Room(1, 2, 0), ("a",), False, 0.0, 7)
+DEEP = b"[" * 200_000
+
+scalars = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
+anything = st.recursive(
+    scalars, lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner)
+)
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("state", "sleeping"),
+        ("state", 1),
+        ("state", None),
+        ("service", ["svc"]),
+        ("service", None),
+        ("service", ""),
+        ("zone", 3),
+        ("address", 5),
+        ("labels", "a"),
+        ("labels", [1]),
+        ("seq", "4"),
+        ("seq", True),
+        ("seq", -1),
+        ("seq", 4.5),
+        ("drain_remaining_ms", float("nan")),
+        ("drain_remaining_ms", "soon"),
+        ("capacity", [16000, 100, 0]),
+        ("capacity", {"cpu": -1, "mem_mb": 100}),
+        ("capacity", {"cpu": 1.5, "mem_mb": 100}),
+        ("capacity", {"cpu": float("inf"), "mem_mb": 100}),
+        ("capacity", {"cpu": 10**400, "mem_mb": 100}),
+        ("capacity", {"mem_mb": 100}),
+    ],
+)
+def test_a_heartbeat_with_a_foreign_field_is_none(field: str, value: object) -> None:
+    with pytest.raises(ValueError):
+        read_report("i-1", {**HEARTBEAT, field: value}, "10.0.0.1:80")
+
+
+@pytest.mark.parametrize("missing", ["service", "zone", "state", "capacity", "seq"])
+def test_a_heartbeat_without_a_field_is_none(missing: str) -> None:
+    content = {name: value for name, value in HEARTBEAT.items() if name != missing}
+    with pytest.raises(ValueError):
+        read_report("i-1", content, "10.0.0.1:80")
+
+
+@given(st.sampled_from(sorted(HEARTBEAT)), anything)
+def test_any_heartbeat_is_read_whole_or_refused(field: str, value: object) -> None:
+    try:
+        report = read_report("i-1", {**HEARTBEAT, field: value}, "10.0.0.1:80")
+    except ValueError:
+        return
+    assert all(type(amount) is int and amount >= 0 for amount in report.capacity)
+    assert type(report.sequence) is int
+    assert isinstance(report.service, str) and report.service
+
+
+@pytest.mark.parametrize("raw", [DEEP, b"\xff\xfe", b"[]", b"null", b'{"a": NaN}', b""])
+def test_bytes_that_hold_no_object_are_a_value_error(raw: bytes) -> None:
+    with pytest.raises(ValueError):
+        read_object(raw)
+
+
+def test_a_deeply_nested_configuration_is_a_numbered_error() -> None:
+    with pytest.raises(GentianmuxError):
+        decode_config(DEEP)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        DEEP,
+        b"\x00\xff",
+        b"[]",
+        b'{"role": "overseer", "address": "10.0.0.1:7720"}',
+        b'{"role": 1, "address": "10.0.0.1:7720"}',
+        b'{"role": "agent", "address": 7720}',
+        b'{"role": "agent", "address": "somewhere"}',
+        b'{"role": "agent", "address": "10.0.0.1:99999"}',
+        b'{"role": "agent", "address": "10.0.0.1:7720", "report": 5}',
+        b'{"role": "agent", "address": "10.0.0.1:7720", "report": {}}',
+    ],
+)
+def test_a_foreign_announcement_names_no_instance(value: bytes) -> None:
+    assert decode_announcement("w1", value) is None
+
+
+def test_announcements_of_our_own_are_read_as_written() -> None:
+    for mine in (
+        Announcement("w1", "agent", "10.0.0.1:7720", REPORT),
+        Announcement("e1", "entry", "10.0.0.2:7720"),
+    ):
+        assert decode_announcement(mine.name, mine.encode()) == mine
+
+
+@given(st.sampled_from([*REPORT._fields, "role", "address"]), anything)
+def test_any_announcement_is_read_whole_or_passed_over(field: str, value: object) -> None:
+    content = json.loads(Announcement("w1", "agent", "10.0.0.1:7720", REPORT).encode())
+    (content if field in content else content["report"])[field] = value
+    found = decode_announcement("w1", json.dumps(content).encode())
+    if found is not None and found.report is not None:
+        assert all(type(amount) is int and amount >= 0 for amount in found.report.capacity)
+        assert all(isinstance(label, str) for label in found.report.labels)
+
+
+class _Store:
+    """Answers one read with records, and every later one with nothing new."""
+
+    def __init__(self, *records: tuple[str, bytes]) -> None:
+        self.records = records
+
+    def newest(self, topic: str) -> Newest:
+        return Newest(dict(self.records), 5)
+
+    def changes(self, topic: str, offset: int, wait_s: float) -> Changes:
+        raise LogError(*_UNAVAILABLE)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        raise AssertionError("nothing is written here")
+
+
+_UNAVAILABLE = (ResultCode.LOG_UNAVAILABLE, "down")
+
+
+def test_one_unreadable_record_hides_no_other() -> None:
+    good = Announcement("e2", "entry", "10.0.0.2:7720")
+    store = _Store(("bad", DEEP), ("e2", good.encode()))
+    directory = Directory(store, Metrics(Settings(name="e1")))  # type: ignore[arg-type]
+    found: list[Announcement] = []
+    directory.on_found = found.append
+    directory.follow_once()
+    assert found == [good]
+
+
+def test_a_follower_goes_on_after_an_error_of_what_it_hands_on_to() -> None:
+    good = Announcement("e2", "entry", "10.0.0.2:7720")
+    directory = Directory(
+        _Store(("e2", good.encode())), Metrics(Settings(name="e1"))  # type: ignore[arg-type]
+    )
+    directory.on_found = lambda found: (_ for _ in ()).throw(KeyError("a fault of ours"))
+    with pytest.raises(KeyError):
+        directory.follow_once()
+    # The next call reads on where this one has read to, and does not meet the same record again.
+    directory.on_found = lambda found: pytest.fail("handed on twice")
+    directory.follow_once()
+
+
+def test_the_feed_passes_over_a_configuration_that_cannot_be_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    store = _Store((CONFIG_SOURCE.key, DEEP))
+    feed = ConfigFeed(CONFIG_SOURCE, store, Metrics(Settings(name="e1")), None)  # type: ignore
+    feed.follow_once()
+    assert feed.version == -1
+
+
+def test_foreign_heartbeats_change_nothing_at_the_agent_and_are_counted() -> None:
+    world = ready_world()
+    agent = world.machines["w0"].agent
+    assert agent is not None and agent.report is not None
+    known = agent.report
+    rng = Random(5)
+    for number in range(60):
+        writer = rng.choice([known.endpoint, f"foreign-{number % 4}"])
+        agent.on_unreadable(writer, "seq is no whole number")
+    agent.on_report(known._replace(service="of-nobody", sequence=10**9))
+    assert agent.report == known
+    assert agent.is_accepting
+    job = world.submit("e0", tasks=8, run_s=0.12)
+    world.run(0.3)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
+
+
+def test_the_topic_of_announcements_stays_as_it_is() -> None:
+    # Processes of the last version read it during an upgrade.
+    assert TOPIC == "gentianmux-members"
