The configuration is asked for once, in paced pieces, and delays no echo

Cause: an entry sent its whole configuration on each connection that opened, and again with each report of an agent that had not taken it in yet, ten a second. Ruled out: lack of processor (the queues are parsed in some ms), the store (in force at entries at once), connections that break (they were replaced because of the silence). Change: ConfigHanding. Agents act on nothing of it; they keep it for entries that start while the store is away, so it need not be quick.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from gentianmux.clock import Clock
+from gentianmux.codec import encode
 from gentianmux.leased.agent import REPORT_S, Agent
 from gentianmux.leased.chain import ECHO_S
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
@@ -437,6 +438,9 @@
         self.frozen: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.silent_links: set[int] = set()
+        self.bytes_per_s: dict[str, float] = {}
+        self.bytes_sent: dict[str, int] = defaultdict(int)
+        self._link_free_at: dict[str, float] = {}
         self.alive: set[str] = set()
         self._due: list[tuple[float, int, str, Callable[..., Any], tuple[Any, ...]]] = []
         self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = defaultdict(list)
@@ -663,9 +667,21 @@
         if self.is_cut(sender, receiver):
             self.at(0.2, "", self.carry, sender, receiver, link, msg)
             return
+        on_its_way_s = ONE_WAY_S + self._queued_s(sender, msg)
         for links in self._links():
             if links.me.process == receiver:
-                self.at(ONE_WAY_S, receiver, links.take, sender, link, msg)
+                self.at(on_its_way_s, receiver, links.take, sender, link, msg)
+
+    def _queued_s(self, sender: str, msg: Message) -> float:
+        """How long a frame waits for its sender's link, which is bounded where a test says so."""
+        rate = self.bytes_per_s.get(sender)
+        if rate is None:
+            return 0.0
+        size = len(encode(msg))
+        self.bytes_sent[sender] += size
+        free_at = max(self.time, self._link_free_at.get(sender, 0.0)) + size / rate
+        self._link_free_at[sender] = free_at
+        return free_at - self.time
 
     def _heartbeats(self) -> None:
         self.at(0.5, "", self._heartbeats)
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -10,6 +10,8 @@
 from ..codes import ResultCode
 from ..messages import (
     Assign,
+    ConfigPiece,
+    ConfigWanted,
     EndpointState,
     Hello,
     Holding,
@@ -18,11 +20,11 @@
     Message,
     RunRef,
     SeenRuns,
-    SharedConfig,
     Withdraw,
 )
 from ..metrics import Metrics
 from .config_feed import ConfigFeed
+from .config_handing import ConfigHanding
 from .endpoint_looks import EndpointLooks, LookHooks
 from .entry_reports import EntryReports, Load
 from .health import EndpointHealth
@@ -114,6 +116,7 @@
         self._driver = driver
         self._links = links
         self._feed = feed
+        self._handing = ConfigHanding(feed, links, clock)
         self._metrics = metrics
         self._clock = clock
         self.table = RunTable()
@@ -433,12 +436,15 @@
     def _(self, msg: LoadEcho, entry: str) -> None:
         self._chain.echoed(entry, msg.number)
         self._reports.hunger(entry, msg.hungry, msg.late)
-        if msg.config_version < self._feed.version:
-            self._feed.share(self._links, entry)
+        self._handing.heard_of(entry, msg.config_version)
 
     @on_message.register
-    def _(self, msg: SharedConfig, entry: str) -> None:
-        self._feed.offered(msg.body, f"entry {entry}")
+    def _(self, msg: ConfigWanted, entry: str) -> None:
+        self._handing.wanted(msg, entry)
+
+    @on_message.register
+    def _(self, msg: ConfigPiece, entry: str) -> None:
+        self._handing.take(msg, entry)
 
     def _stop(self, key: RunKey, why: How, reason: str) -> None:
         if self.table.want_stopped(key, why):
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -9,9 +9,7 @@
 from ..clock import Clock, repeat
 from ..errors import GentianmuxError, LogError
 from ..memory_log import KeyedLog
-from ..messages import SharedConfig
 from ..metrics import Metrics
-from .links import Links
 from .model import JobConfig
 
 WATCH_S = 1.5
@@ -96,11 +94,6 @@
         self._metrics.gauge("config_version", config.version)
         self.on_change(config)
 
-    def share(self, links: Links, process: str) -> None:
-        """Send a peer the configuration in force, if there is one."""
-        if self.current is not None:
-            links.send(process, SharedConfig(self.version, self.current.raw))
-
     def run(self) -> None:
         """Follow the store for as long as the process lives."""
         repeat(0.0, self.follow_once)
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -8,18 +8,20 @@
 from ..clock import Clock, repeat
 from ..messages import (
     AgentLoad,
+    ConfigPiece,
+    ConfigWanted,
     EndedRuns,
     EndpointState,
     Hello,
     Holding,
     Message,
     SeenRuns,
-    SharedConfig,
 )
 from ..metrics import Metrics
 from .admitting import Admitting
 from .chain import ECHO_S
 from .config_feed import ConfigFeed
+from .config_handing import ConfigHanding
 from .entry_board import EntryBoard
 from .fleet_view import Demand, FleetView
 from .job_state import JobState, Outcome, longest_chain_s
@@ -64,6 +66,7 @@
         self, view: FleetView, links: Links, feed: ConfigFeed, metrics: Metrics, clock: Clock
     ) -> None:
         self._board = EntryBoard(view, links, feed, metrics, clock)
+        self._handing = ConfigHanding(feed, links, clock)
         self._ends = RunEnds(self._board)
         self._admitting = Admitting(self._board)
         self._placing = Placing(self._board, self._ends, self._admitting.admissions)
@@ -136,8 +139,7 @@
     def _(self, msg: AgentLoad, agent: str) -> None:
         view = self._board.view.of(agent)
         view.take_load(msg, self._board.clock.now())
-        if msg.config_version < self._board.feed.version:
-            self._board.feed.share(self._board.links, agent)
+        self._handing.heard_of(agent, msg.config_version)
         if agent in self._echo_at_once:
             # The connection may have taken the place of a silent one, and the chain be nearly over.
             self._echo_at_once.discard(agent)
@@ -175,15 +177,18 @@
         self._ends.compare(msg, agent)
 
     @on_message.register
-    def _(self, msg: SharedConfig, agent: str) -> None:
-        self._board.feed.offered(msg.body, f"agent {agent}")
+    def _(self, msg: ConfigWanted, agent: str) -> None:
+        self._handing.wanted(msg, agent)
+
+    @on_message.register
+    def _(self, msg: ConfigPiece, agent: str) -> None:
+        self._handing.take(msg, agent)
 
     # Losses
 
     def _on_open(self, hello: Hello) -> None:
         self._ends.opened_at[hello.process] = self._board.clock.now()
         self._echo_at_once.add(hello.process)
-        self._board.feed.share(self._board.links, hello.process)
 
     def _on_close(self, agent: str) -> None:
         """Keep what the agent holds until it is surely over: it may connect again."""
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -438,10 +438,19 @@
     accepting: bool
 
 
-class SharedConfig(NamedTuple):
-    """A version of the operators' configuration, handed on as it was published."""
+class ConfigWanted(NamedTuple):
+    """Asks a peer for a piece of its configuration, from ``offset`` of what is packed."""
 
     version: int
+    offset: int
+
+
+class ConfigPiece(NamedTuple):
+    """A piece of the operators' configuration, packed; ``size`` is that of the whole."""
+
+    version: int
+    offset: int
+    size: int
     body: bytes
 
 
@@ -479,5 +488,6 @@
     | AgentLoad
     | LoadEcho
     | EndpointState
-    | SharedConfig
+    | ConfigWanted
+    | ConfigPiece
 )
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -315,9 +315,16 @@
   accepting @7 :Bool;
 }
 
-struct SharedConfig {
+struct ConfigWanted {
   version @0 :Int64;
-  body @1 :Data;
+  offset @1 :Int64;
+}
+
+struct ConfigPiece {
+  version @0 :Int64;
+  offset @1 :Int64;
+  size @2 :Int64;
+  body @3 :Data;
 }
 
 struct Envelope {
@@ -355,6 +362,7 @@
     agentLoad @30 :AgentLoad;
     loadEcho @31 :LoadEcho;
     endpointState @32 :EndpointState;
-    sharedConfig @33 :SharedConfig;
+    configWanted @33 :ConfigWanted;
+    configPiece @34 :ConfigPiece;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -32,7 +32,8 @@
     m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
     m.LoadEcho(9, 3, True, True),
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
-    m.SharedConfig(3, b"{}"),
+    m.ConfigWanted(3, 4096),
+    m.ConfigPiece(3, 4096, 4100, b"last"),
     m.Gossip(
         0, 1, "a", "b", -1, 7, [m.MemberUpdate("a", "a", "entry", "x", "y", "f", ["s"], 8, 0, 1)]
     ),
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -613,3 +613,47 @@
     world.run(0.11)
     assert entry.has_left()
     assert not entry.takes(last.spec)
+
+
+@pytest.mark.parametrize("mbits, agents", [(2, 12), (25, 24)])
+def test_a_large_configuration_stops_no_run_on_a_slow_link(mbits: int, agents: int) -> None:
+    """Pushed whole, again with each report, it held up the echoes that keep runs going."""
+    world = ready_world(agents=agents, entries=3)
+    for name in world.entries:
+        world.bytes_per_s[world.process_of(name)] = mbits * 1e6 / 8
+    # 1,400 queues of some 300 bytes, of which names are random.
+    rng = Random(3)
+    raw = b"".join(
+        b'{"host":"%016x","rest":"%s"}' % (rng.getrandbits(64), b"r" * 270) for _ in range(1400)
+    )
+    world.config = world.config._replace(version=7, raw=raw)
+    for node in world.entries.values():
+        assert node.entry is not None
+        node.entry._board.feed.offered(raw, "store")
+    jobs = []
+    for _ in range(30):
+        jobs += [world.submit(name, tasks=4, run_s=0.3) for name in world.entries]
+        world.run(0.1)
+    world.run(1.0)
+    assert [outcome(job) for job in jobs] == [Outcome.COMPLETED] * len(jobs)
+    assert world.starts == 4 * len(jobs)
+    assert {m.agent._feed.version for m in world.machines.values() if m.agent} == {7}
+    assert_kept(world)
+
+
+def test_a_peer_that_has_a_configuration_is_never_sent_it() -> None:
+    world = ready_world(agents=4, entries=2)
+    for name in world.entries:
+        world.bytes_per_s[world.process_of(name)] = 1e9
+    raw = Random(4).randbytes(100_000)
+    world.config = world.config._replace(version=7, raw=raw)
+    feeds = [node.entry._board.feed for node in world.entries.values() if node.entry]
+    for feed in feeds:
+        feed.offered(raw, "store")
+    world.run(4.0)
+    once = sum(world.bytes_sent.values())
+    # Incompressible: the four agents take it in once each, 400 KB, beside echoes.
+    assert 400_000 < once < 450_000
+    world.reset("e0", "w0")
+    world.run(2.0)
+    assert sum(world.bytes_sent.values()) - once < 30_000
