--- /dev/null
+++ b/bench/leased_endpoint.py
@@ -0,0 +1,257 @@
+"""A fake endpoint on virtual time, and the driver by which an agent speaks to it."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from gentianmux.leased.model import (
+    ActiveRun,
+    EndedRow,
+    EndpointGone,
+    EndpointReport,
+    HoldReply,
+    How,
+    NoAnswer,
+    StartVerdict,
+)
+from gentianmux.leased.room import NO_ROOM, Room
+
+if TYPE_CHECKING:
+    from bench.leased_world import Machine, World
+
+STOP_S = 0.05
+"""Seconds that a stop takes at an endpoint."""
+
+LONGEST_LEASE_S = 1.0
+SLOW_CLOCK = 0.98
+"""An endpoint's clock may run 2 % slow, which makes its leases last longer."""
+
+
+class Work(NamedTuple):
+    """What a task really does: its run time at normal speed, and how many runs of it fail."""
+
+    run_s: float
+    failures: int = 0
+
+
+@dataclass
+class FakeRun:
+    """A run at a fake endpoint."""
+
+    need: Room
+    work: Work
+    done_s: float = 0.0
+    moved_at: float = 0.0
+    stop_at: float | None = None
+
+
+class Breach(NamedTuple):
+    """A promise that was broken, when, and by what."""
+
+    rule: str
+    at: float
+    task: str
+
+
+class FakeEndpoint:
+    """One life of an endpoint: starts whatever it is told to, under leases, and keeps count.
+
+    Attributes
+    ----------
+    speed : float
+        Work done in a second; 0 makes everything stand still.
+    failing, silent, unhealthy : bool
+        Whether runs fail at once, calls get no answer, starts are refused.
+    lose_looks : float
+        Share of looks that are carried out and not answered.
+    lose_answers : int
+        Starts that get no answer although they are carried out.
+    late_orders : int
+        Starts that get no answer and are carried out ``late_by`` seconds later.
+    """
+
+    def __init__(self, world: "World", name: str, capacity: Room) -> None:
+        self.world = world
+        self.name = name
+        self.capacity = capacity
+        self.speed = 1.0
+        self.failing = False
+        self.silent = False
+        self.unhealthy = False
+        self.lose_answers = 0
+        self.lose_looks = 0.0
+        self.late_orders = 0
+        self.late_by = 3.0
+        self.up = True
+        self.active: dict[tuple[str, int], FakeRun] = {}
+        self.ends: list[EndedRow] = []
+        self.stopped_runs: dict[str, int] = defaultdict(int)
+        self.fence = 0
+        self.lease_until = 0.0
+        self._number = 0
+
+    def used(self) -> Room:
+        """What its runs take, those being stopped included."""
+        total = NO_ROOM
+        for run in self.active.values():
+            total = total.plus(run.need)
+        return total
+
+    def advance(self) -> None:
+        """Bring runs up to the present, and end what is over."""
+        now = self.world.time
+        for key, run in list(self.active.items()):
+            end = min(now, self.lease_until)
+            run.done_s += max(0.0, end - run.moved_at) * self.speed
+            run.moved_at = max(run.moved_at, end)
+            if run.stop_at is not None and now >= run.stop_at:
+                self._end(key, How.STOPPED)
+            elif now > self.lease_until:
+                self._end(key, How.LOST)
+            elif self.failing:
+                self._end(key, How.FAILED)
+            elif run.done_s >= run.work.run_s:
+                failed = self.world.failed[key[0]] < run.work.failures
+                self.world.failed[key[0]] += failed
+                self._end(key, How.FAILED if failed else How.DONE)
+
+    def _end(self, key: tuple[str, int], how: How) -> None:
+        del self.active[key]
+        self._number += 1
+        self.stopped_runs[key[0]] = max(self.stopped_runs[key[0]], key[1])
+        self.ends.append(EndedRow(self._number, *key, how))
+        if how is not How.DONE:
+            self.world.wasted_runs += 1
+
+    def begin(self, task: str, run: int, fence: int, until: float) -> StartVerdict:
+        """Carry out a start."""
+        self.advance()
+        now = self.world.time
+        if fence < self.fence or until < now:
+            return StartVerdict.REFUSED
+        self.fence = fence
+        if (task, run) in self.active:
+            return StartVerdict.STARTED
+        if run <= self.stopped_runs.get(task, 0):
+            return StartVerdict.OLD_RUN
+        if self.unhealthy:
+            return StartVerdict.UNHEALTHY
+        step, work = self.world.works[task]
+        self.world.note_start(self, task)
+        self.lease_until = max(self.lease_until, min(until, now + LONGEST_LEASE_S))
+        self.active[task, run] = FakeRun(step.need, work, moved_at=now)
+        self.world.starts += 1
+        if not self.capacity.fits(self.used()):
+            self.world.breaches.append(Breach("LIMIT", now, task))
+        if self.failing:
+            self.world.at(0.01, "", self.advance)
+        elif self.speed:
+            self.world.at(work.run_s / self.speed + 0.0001, "", self.advance)
+        return StartVerdict.STARTED
+
+
+class FakeDriver:
+    """An agent's way to the endpoint on its machine."""
+
+    def __init__(self, world: "World", machine: "Machine") -> None:
+        self._world = world
+        self._machine = machine
+        self._endpoint: FakeEndpoint | None = None
+        self._fence = 0
+        self._lease_end = 0.0
+        self.blocked_until = 0.0
+
+    def attach(self, report: EndpointReport) -> None:
+        now_there = self._machine.endpoint
+        self._endpoint = now_there if now_there.name == report.endpoint else None
+        self._fence = 0
+
+    def is_present(self, report: EndpointReport) -> bool | None:
+        endpoint = self._machine.endpoint
+        if endpoint.silent or not endpoint.up:
+            return None
+        return endpoint.name == report.endpoint
+
+    def lease_end(self) -> float:
+        return self._lease_end
+
+    def _until(self, lease: float) -> float:
+        now = self._world.time
+        self._lease_end = max(self._lease_end, now + lease * 1.02 + STOP_S)
+        return now + lease / SLOW_CLOCK if lease else 0.0
+
+    def _there(self) -> FakeEndpoint:
+        endpoint = self._machine.endpoint
+        if self._endpoint is not endpoint and endpoint.up:
+            raise EndpointGone
+        if endpoint.silent or not endpoint.up:
+            raise NoAnswer("silent")
+        return endpoint
+
+    def start(
+        self, task: str, run: int, payload: str, lease: float, asked_at: float
+    ) -> StartVerdict:
+        until = self._until(lease)
+        try:
+            endpoint = self._there()
+        except EndpointGone:
+            return StartVerdict.REPLACED
+        except NoAnswer:
+            return StartVerdict.NO_ANSWER
+        if endpoint.late_orders:
+            endpoint.late_orders -= 1
+            later = until + endpoint.late_by
+            self._world.at(endpoint.late_by, "", endpoint.begin, task, run, self._fence, later)
+            return StartVerdict.NO_ANSWER
+        verdict = endpoint.begin(task, run, self._fence, until)
+        if endpoint.lose_answers:
+            endpoint.lose_answers -= 1
+            return StartVerdict.NO_ANSWER
+        return verdict
+
+    def stop(self, task: str, run: int) -> bool:
+        try:
+            endpoint = self._there()
+        except EndpointGone:
+            return True
+        except NoAnswer:
+            return False
+        endpoint.advance()
+        known = endpoint.active.get((task, run))
+        if known is None:
+            endpoint.stopped_runs[task] = max(endpoint.stopped_runs[task], run)
+        elif known.stop_at is None:
+            known.stop_at = self._world.time + STOP_S
+            self._world.at(STOP_S + 0.0001, "", endpoint.advance)
+        return True
+
+    def hold(self, acknowledged: int, wait: float, lease: float, timeout: float) -> HoldReply:
+        """Look at once; one whose answer is lost takes up ``timeout``."""
+        if self._world.time < self.blocked_until:
+            raise NoAnswer("still waiting")
+        try:
+            return self._hold(acknowledged, lease)
+        except NoAnswer:
+            self.blocked_until = self._world.time + timeout
+            raise
+
+    def _hold(self, acknowledged: int, lease: float) -> HoldReply:
+        until = self._until(lease) if lease else 0.0
+        endpoint = self._there()
+        endpoint.advance()
+        if not self._fence:
+            endpoint.fence = max(endpoint.fence + 1, int(self._world.time * 1000))
+            self._fence = endpoint.fence
+        if self._fence < endpoint.fence:
+            raise NoAnswer("fenced")
+        if lease:
+            limit = self._world.time + LONGEST_LEASE_S / SLOW_CLOCK
+            endpoint.lease_until = max(endpoint.lease_until, min(until, limit))
+        if self._world.rng.random() < endpoint.lose_looks:
+            raise NoAnswer("the answer is lost")
+        endpoint.ends = [row for row in endpoint.ends if row.number > acknowledged]
+        active = tuple(
+            ActiveRun(task, run, min(99.0, 100 * r.done_s / r.work.run_s))
+            for (task, run), r in endpoint.active.items()
+        )
+        return HoldReply(self._world.time, active, tuple(endpoint.ends))
--- /dev/null
+++ b/bench/leased_links.py
@@ -0,0 +1,85 @@
+"""Clock and connections of one process on virtual time."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from gentianmux.clock import Clock
+from gentianmux.leased.links import NOTHING_HEARD_S, RENEW_AGAIN_S, SILENT_S
+from gentianmux.messages import Hello, Message
+
+if TYPE_CHECKING:
+    from bench.leased_world import World
+
+ONE_WAY_S = 0.0005
+"""Seconds from one process to another, the deployments' delay between failure domains."""
+
+CALL_S = 0.001
+"""Seconds for a call of the endpoint on the same machine."""
+
+
+class FakeClock(Clock):
+    """Virtual time for one process; its calls wait while it is frozen and go with its life."""
+
+    def __init__(self, world: "World", process: str) -> None:
+        self._world = world
+        self._process = process
+
+    def now(self) -> float:
+        return self._world.time
+
+    def now_ms(self) -> int:
+        return int(self._world.time * 1000)
+
+    def later(self, delay_s: float, call: Callable[..., Any], *args: Any) -> None:
+        self._world.at(delay_s, self._process, call, *args)
+
+    def soon(self, call: Callable[..., Any], *args: Any) -> None:
+        self.later(CALL_S, call, *args)
+
+
+class FakeLinks:
+    """Connections of one process; frames arrive in order, unless the pair is cut or reset."""
+
+    def __init__(self, world: "World", me: Hello) -> None:
+        self.on_open: Callable[[Hello], None] = lambda hello: None
+        self.on_close: Callable[[str], None] = lambda process: None
+        self.on_message: Callable[[Message, str], None] = lambda msg, process: None
+        self.me = me
+        self.open: dict[str, int] = {}
+        self.heard: dict[str, float] = {}
+        self.renewed: dict[str, float] = {}
+        self._world = world
+
+    def processes(self) -> list[str]:
+        return sorted(self.open)
+
+    def send(self, process: str, msg: Message) -> bool:
+        if process not in self.open:
+            return False
+        self._world.frames += 1
+        self._world.carry(self.me.process, process, self.open[process], msg)
+        return True
+
+    def take(self, sender: str, link: int, msg: Message) -> None:
+        """Hand on a frame that came by the present connection."""
+        if self.open.get(sender) == link:
+            self.heard[sender] = self._world.time
+            self.on_message(msg, sender)
+
+    def close_silent(self) -> None:
+        for process in list(self.open):
+            if self._world.time - self.heard[process] > SILENT_S:
+                self.close(process)
+
+    def renew(self, process: str) -> None:
+        """Replace a connection, at most once in ``RENEW_AGAIN_S``."""
+        now = self._world.time
+        if now - self.heard.get(process, now) < NOTHING_HEARD_S:
+            return
+        if now - self.renewed.get(process, -RENEW_AGAIN_S) >= RENEW_AGAIN_S:
+            self.renewed[process] = now
+            self._world.at(3 * ONE_WAY_S, "", self._world.reopen, self.me.process, process)
+
+    def close(self, process: str) -> None:
+        if self.open.pop(process, None) is not None:
+            self.on_close(process)
