--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -39,7 +39,7 @@
 
 IDLE_STEP_S = 0.025
 """The same while nothing waits for room: a job is placed as it comes, and decided 38 ms later at
-the earliest. At 100 turns a second they took 0.008 of a core at an entry at rest."""
+the earliest. A turn that finds nothing takes some 80 us (2,004 turns, by processor time)."""
 
 LOSS_CHECK_S = 0.05
 """Seconds between checks for lost agents, which are given up 1.1 s after their last report."""
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -46,7 +46,7 @@
 
     @property
     def confirmed(self) -> bool:
-        """Whether the endpoint has said that it runs, or ran when it was told to stop."""
+        """Whether the endpoint has said that it runs, and it has not been told to stop."""
         return self.phase is Phase.RUNNING
 
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -2,12 +2,12 @@
 
 import json
 from random import Random
-from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from test_leased_world import assert_kept, outcome, ready_world
+from test_platform_adapter import REPORT as HEARTBEAT
 
 from gentianmux.codes import ResultCode
 from gentianmux.errors import GentianmuxError, LogError
@@ -23,15 +23,6 @@
 from gentianmux.settings import Settings
 from gentianmux.typed_json import read_object
 
-HEARTBEAT: dict[str, Any] = {
-    "service": "svc",
-    "address": "10.0.0.1:80",
-    "zone": "hall-a",
-    "state": "ready",
-    "capacity": {"cpu": 16000, "mem_mb": 100, "gpu": 0},
-    "labels": ["a", "r1"],
-    "seq": 4,
-}
 REPORT = EndpointReport("i-1", "10.0.0.1:80", "svc", "fd", Room(1, 2, 0), ("a",), False, 0.0, 7)
 DEEP = b"[" * 200_000
 
