A heartbeat that is passed over as overtaken is logged and counted

Change: a line with both sequence numbers and what the heartbeat said, and a counter. Before: no line; after: a line each time. No logic is changed.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -149,6 +149,7 @@
         known = self.report
         if known is not None and known.endpoint == report.endpoint:
             if report.sequence < known.sequence:
+                self._pass_over(report, known)
                 return
             if report.draining != known.draining:
                 logger.bind(endpoint=report.endpoint, sequence=report.sequence).info(
@@ -182,6 +183,16 @@
             "heartbeat unreadable"
         )
 
+    def _pass_over(self, report: EndpointReport, known: EndpointReport) -> None:
+        """Leave out a heartbeat that was overtaken; what it says is told, since it is lost."""
+        self._metrics.count("heartbeats_overtaken")
+        logger.bind(
+            endpoint=report.endpoint,
+            sequence=report.sequence,
+            newest=known.sequence,
+            draining=report.draining,
+        ).info("heartbeat overtaken")
+
     def _is_named(self, report: EndpointReport) -> bool:
         """Whether the endpoint's service is one that the settings or the operators name."""
         known = self.report
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -59,6 +59,9 @@
     "heartbeats_unreadable": Metric(
         "counter", "heartbeats", "Heartbeats of other writers, which name no endpoint."
     ),
+    "heartbeats_overtaken": Metric(
+        "counter", "heartbeats", "Heartbeats passed over, since a newer one was known."
+    ),
     "runs_stopped": Metric("counter", "runs", "Runs that an agent stopped, by how."),
     "runs_stalled": Metric("counter", "runs", "Runs that made no progress."),
     "run_seconds": Metric("histogram", "s", "Time that a run took at the endpoint."),
