An endpoint that starts again under its id is told from its earlier life

Cause: an agent told lives of its endpoint apart by their id. One that crashed and started again under the same id counted its heartbeats and the ends of its runs from 1, and its clock from anywhere: its word that it drains was passed over as overtaken, every end as known, and its clock's lower value was not taken. Change: heartbeats and lists of runs tell when the endpoint started (born). A heartbeat is judged by id and start first, by its number after (leased/endpoint_word.py); a look answered by a later start turns the agent to it. With it begin anew: heartbeat numbers, acknowledged ends, clock, fence, health, service, size, the word that it drains; at entries what is held against an endpoint; in the store's announcements the start is kept. Runs that the earlier life was seen to run are lost at once; starts that no look has shown keep their room until a look at the later life decides, and are never reported as not run. A fence may have to rise above one that a lower clock cannot reach. A farewell of another life is not believed.

--- a/bench/leased_endpoint.py
+++ b/bench/leased_endpoint.py
@@ -9,6 +9,7 @@
     EndedRow,
     EndpointGone,
     EndpointReport,
+    EndpointStartedAgain,
     HoldReply,
     How,
     NoAnswer,
@@ -22,6 +23,9 @@
 STOP_S = 0.05
 """Seconds that a stop takes at an endpoint."""
 
+DRAIN_S = 2.0
+"""Seconds after its acknowledged word that it drains in which runs may still begin."""
+
 LONGEST_LEASE_S = 1.0
 SLOW_CLOCK = 0.98
 """An endpoint's clock may run 2 % slow, which makes its leases last longer."""
@@ -60,6 +64,10 @@
     ----------
     draining : bool
         Whether its heartbeats say that it drains.
+    drain_heard_at : float or None
+        When that was first acknowledged, in seconds.
+    born : int
+        When it began, in Unix milliseconds.
     speed : float
         Work done in a second; 0 makes everything stand still.
     failing, silent, unhealthy : bool
@@ -76,11 +84,13 @@
         self.world = world
         self.name = name
         self.capacity = capacity
+        self.born = int(world.time * 1000)
         self.speed = 1.0
         self.failing = False
         self.silent = False
         self.unhealthy = False
         self.draining = False
+        self.drain_heard_at: float | None = None
         self.lose_answers = 0
         self.lose_looks = 0.0
         self.late_orders = 0
@@ -146,6 +156,8 @@
         self.world.starts += 1
         if not self.capacity.fits(self.used()):
             self.world.breaches.append(Breach("LIMIT", now, task))
+        if self.drain_heard_at is not None and now > self.drain_heard_at + DRAIN_S:
+            self.world.breaches.append(Breach("DRAIN", now, task))
         if self.failing:
             self.world.at(0.01, "", self.advance)
         elif self.speed:
@@ -159,21 +171,22 @@
     def __init__(self, world: "World", machine: "Machine") -> None:
         self._world = world
         self._machine = machine
-        self._endpoint: FakeEndpoint | None = None
+        self._endpoint = ""
+        self._born = 0
         self._fence = 0
         self._lease_end = 0.0
         self.blocked_until = 0.0
 
     def attach(self, report: EndpointReport) -> None:
-        now_there = self._machine.endpoint
-        self._endpoint = now_there if now_there.name == report.endpoint else None
+        self._endpoint = report.endpoint
+        self._born = report.born
         self._fence = 0
 
     def is_present(self, report: EndpointReport) -> bool | None:
         endpoint = self._machine.endpoint
         if endpoint.silent or not endpoint.up:
             return None
-        return endpoint.name == report.endpoint
+        return (endpoint.name, endpoint.born) == (report.endpoint, report.born)
 
     def lease_end(self) -> float:
         return self._lease_end
@@ -185,8 +198,7 @@
 
     def _there(self) -> FakeEndpoint:
         endpoint = self._machine.endpoint
-        attached = "" if self._endpoint is None else self._endpoint.name
-        if attached != endpoint.name and endpoint.up:
+        if self._endpoint != endpoint.name and endpoint.up:
             raise EndpointGone
         if endpoint.silent or not endpoint.up:
             raise NoAnswer("silent")
@@ -243,6 +255,8 @@
         until = self._until(lease) if lease else 0.0
         endpoint = self._there()
         endpoint.advance()
+        if self._born != endpoint.born:
+            raise EndpointStartedAgain(endpoint.born)
         if not self._fence:
             endpoint.fence = max(endpoint.fence + 1, int(self._world.time * 1000))
             self._fence = endpoint.fence
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -216,7 +216,7 @@
         self.every(0.02, process, end_when_left)
 
     def _look(self, agent: Agent, driver: FakeDriver) -> None:
-        if agent.report is not None and self.time >= driver.blocked_until:
+        if agent.looks.endpoint and self.time >= driver.blocked_until:
             agent.look()
 
     def start_entry(self, name: str) -> None:
@@ -396,6 +396,8 @@
                 continue
             machine.sequence += 1
             machine.agent.on_report(self.report_of(machine, endpoint.draining))
+            if endpoint.draining and endpoint.drain_heard_at is None:
+                endpoint.drain_heard_at = self.time
 
     def report_of(self, machine: Machine, draining: bool = False) -> EndpointReport:
         """The heartbeat that a machine's endpoint sends."""
@@ -410,6 +412,7 @@
             draining,
             2.0 if draining else 0.0,
             machine.sequence,
+            endpoint.born,
         )
 
     # Jobs
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -1,13 +1,13 @@
 """The agent: the only one that starts anything at the endpoint beside it."""
 
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
+from typing import Any
 
 import gevent
 from loguru import logger
 
 from ..clock import Clock, repeat
-from ..codes import ResultCode
 from ..messages import (
     Assign,
     ConfigPiece,
@@ -27,6 +27,7 @@
 from .config_feed import ConfigFeed
 from .config_handing import ConfigHanding
 from .endpoint_looks import EndpointLooks, LookHooks
+from .endpoint_tracker import EndpointTracker, TrackerHooks
 from .entry_reports import EntryReports, Load
 from .grants import LATE_RESERVE
 from .health import EndpointHealth
@@ -64,13 +65,6 @@
 """Seconds that an idle leaving agent waits for orders on their way, which it refuses: ten one-way
 delays between failure domains, and some for a busy processor."""
 
-MAX_WRITERS = 100
-"""Writers of unreadable heartbeats that are remembered, so that each is logged once."""
-
-PROBES = 3
-"""Times that an endpoint is asked whether a heartbeat of another life is its own; a third of the
-answers may be lost, and the next heartbeat is seconds away."""
-
 _NOT_RUN = {
     StartVerdict.OLD_RUN: How.OLD_RUN,
     StartVerdict.NO_ROOM: How.NO_ROOM,
@@ -122,16 +116,23 @@
         self._clock = clock
         self.table = RunTable()
         self.health = EndpointHealth()
-        self.report: EndpointReport | None = None
         self.leaving = False
         self._leaves_at = float("inf")
         self._idle_since: float | None = None
         self.on_endpoint: Callable[[EndpointReport | None], None] = lambda report: None
         self._lease_s = lease_s(cfg)
-        hooks = LookHooks(self._stop_unechoed, self._detach, self._on_looked, self._on_silence)
+        self.tracker = EndpointTracker(
+            cfg, driver, self.table, feed, metrics, TrackerHooks(self._on_turn, self._on_news)
+        )
+        hooks = LookHooks(
+            self._stop_unechoed,
+            partial(self._follow, self.tracker.detach),
+            partial(self._follow, self.tracker.started_again),
+            self._on_looked,
+            self._on_silence,
+        )
         self.looks = EndpointLooks(driver, self.table, metrics, clock, self._lease_s, hooks)
         self._replacing: set[RunKey] = set()
-        self._unreadable: set[str] = set()
         self._reports = EntryReports(links, clock, self._load, self._has_runs_of)
         self._chain = self._reports.chain
         links.on_open = self._on_open
@@ -140,113 +141,46 @@
 
     # The endpoint
 
+    @property
+    def report(self) -> EndpointReport | None:
+        """The newest heartbeat of the endpoint at work."""
+        return self.tracker.report
+
     def on_report(self, report: EndpointReport) -> None:
         """Take in a heartbeat of the endpoint beside this agent."""
-        if not self._is_named(report):
-            self.on_unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
-            return
+        self._follow(self.tracker.hear, report)
+        if self.report is report and report.draining:
+            self._move_what_cannot_end(report.drain_remaining_s)
+
+    def on_unreadable(self, endpoint: str, reason: str) -> None:
+        """Pass over a heartbeat that says nothing usable."""
+        self.tracker.unreadable(endpoint, reason)
+
+    def on_left(self, endpoint: str, born: int = 0) -> None:
+        """Take in an endpoint's word that it ends; ``born`` is 0 where its start is not told."""
+        self._follow(self.tracker.farewell, endpoint, born)
+
+    def _follow(self, change: Callable[..., None], *args: Any) -> None:
+        """Change what is known of the endpoint, and tell entries if that changes its state."""
         before = self._state()
-        known = self.report
-        if known is not None and known.endpoint == report.endpoint:
-            if report.sequence < known.sequence:
-                self._pass_over(report, known)
-                return
-            if report.draining != known.draining:
-                logger.bind(endpoint=report.endpoint, sequence=report.sequence).info(
-                    "endpoint drains" if report.draining else "endpoint is ready again"
-                )
-            drains = report.draining and not known.draining
-            self.report = report
-            if drains:
-                self.on_endpoint(report)
-            if report.draining:
-                self._move_what_cannot_end(report.drain_remaining_s)
-        elif self._is_stale(report):
-            return
-        else:
-            self._attach(report)
+        change(*args)
         if self._state() != before:
             self._tell_state()
             self._reports.load_soon()
 
-    def on_unreadable(self, endpoint: str, reason: str) -> None:
-        """Pass over a heartbeat that says nothing usable; what is known of the endpoint stays.
-
-        Logged once a writer: one that is not ours may send for as long as the process lives.
-        """
-        self._metrics.count("heartbeats_unreadable")
-        if endpoint in self._unreadable or len(self._unreadable) >= MAX_WRITERS:
-            return
-        self._unreadable.add(endpoint)
-        code = int(ResultCode.BAD_FIELD)
-        logger.bind(endpoint=endpoint[:100], code=code, reason=reason).warning(
-            "heartbeat unreadable"
-        )
-
-    def _pass_over(self, report: EndpointReport, known: EndpointReport) -> None:
-        """Leave out a heartbeat that was overtaken; what it says is told, since it is lost."""
-        self._metrics.count("heartbeats_overtaken")
-        logger.bind(
-            endpoint=report.endpoint,
-            sequence=report.sequence,
-            newest=known.sequence,
-            draining=report.draining,
-        ).info("heartbeat overtaken")
-
-    def _is_named(self, report: EndpointReport) -> bool:
-        """Whether the endpoint's service is one that the settings or the operators name."""
-        known = self.report
-        if known is not None and known.endpoint == report.endpoint:
-            return report.service == known.service
-        config = self._feed.current
-        if not self._cfg.service or config is None:
-            return True
-        return report.service in {self._cfg.service, *(queue.service for queue in config.queues)}
-
-    def _is_stale(self, report: EndpointReport) -> bool:
-        """Whether a heartbeat of another life is late: its sender has ended.
-
-        Attaching to it would declare lost what the present life runs, and another endpoint would
-        be given the same tasks.
-        """
-        known = self.report
-        if known is None:
-            return False
-        life = self.looks.life
-        answers = (self._driver.is_present(report) for _ in range(PROBES))
-        present = next((answer for answer in answers if answer is not None), None)
-        if present and life == self.looks.life:
-            return False
-        logger.bind(endpoint=report.endpoint, present=known.endpoint, answered=present).info(
-            "heartbeat of another life ignored"
-        )
-        return True
-
-    def _attach(self, report: EndpointReport) -> None:
-        logger.bind(endpoint=report.endpoint, capacity=report.capacity).info("endpoint found")
-        self._end_all(self.table.lose_all())
-        self.report = report
-        self.table.reset(report.capacity)
-        self._reports.grants.late_reserve = Room(int(report.capacity.cpu * LATE_RESERVE))
+    def _on_turn(self, endpoint: str, finished: list[Finished]) -> None:
+        """Follow another life of the endpoint, or none: what was known of the last one ends."""
         self.health = EndpointHealth()
-        self._driver.attach(report)
-        self.looks.turn_to(report.endpoint)
-        self.on_endpoint(report)
-
-    def on_left(self, endpoint: str) -> None:
-        """Note that the endpoint has said it ends."""
-        if self.report is not None and self.report.endpoint == endpoint:
-            self._detach("it left")
+        if endpoint:
+            self.looks.turn_to(endpoint)
+        else:
+            self.looks.turn_away()
+        self._end_all(finished)
 
-    def _detach(self, why: str) -> None:
-        if self.report is None:
-            return
-        logger.bind(endpoint=self.report.endpoint, reason=why).warning("endpoint gone")
-        self.report = None
-        self.looks.turn_away()
-        self._end_all(self.table.lose_all())
-        self.table.reset(NO_ROOM)
-        self._tell_state()
+    def _on_news(self, report: EndpointReport | None) -> None:
+        if report is not None:
+            self._reports.grants.late_reserve = Room(int(report.capacity.cpu * LATE_RESERVE))
+        self.on_endpoint(report)
 
     def _move_what_cannot_end(self, remaining_s: float) -> None:
         """Stop runs that the draining endpoint will not finish, so that they begin elsewhere."""
@@ -408,8 +342,10 @@
         now = self._clock.now()
         if key not in self.table.runs:
             return
-        if not self._chain.holds(self.table.runs[key].entry, now):
-            # The process stood still since it took the run on; it may be at work elsewhere.
+        run = self.table.runs[key]
+        if run.carried or not self._chain.holds(run.entry, now):
+            # Its endpoint has started again, or the process stood still since it took the run on:
+            # the room may be less, and the run at work elsewhere.
             self._end_unstarted(key, How.NOT_STARTED)
             return
         payload = task.payload.decode("utf-8", "replace")
@@ -556,6 +492,7 @@
             *report.capacity,
             list(report.labels),
             self.is_accepting,
+            report.born,
         )
 
     def _tell_state(self) -> None:
--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -82,6 +82,7 @@
         draining=flag(report, "draining"),
         drain_remaining_s=number(report, "drain_remaining_s"),
         sequence=whole(report, "sequence"),
+        born=whole(report, "born", 0),
     )
 
 
--- a/src/gentianmux/leased/endpoint_looks.py
+++ b/src/gentianmux/leased/endpoint_looks.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock, repeat
 from ..metrics import Metrics
-from .model import EndpointDriver, EndpointGone, HoldReply, NoAnswer
+from .model import EndpointDriver, EndpointGone, EndpointStartedAgain, HoldReply, NoAnswer
 from .run_table import Finished, RunTable
 
 LOOK_S = 0.08
@@ -46,7 +46,9 @@
     before : callable
         Called before each look that renews leases.
     gone : callable
-        Takes the reason when another life of the endpoint answers.
+        Takes the reason when an endpoint with another id answers.
+    started_again : callable
+        Takes the time of its start when a later life of the same endpoint answers.
     looked : callable
         Takes the runs that are proved gone, and whether the table became clean or unclean.
     silent : callable
@@ -55,6 +57,7 @@
 
     before: Callable[[], None]
     gone: Callable[[str], None]
+    started_again: Callable[[int], None]
     looked: Callable[[list[Finished], bool], None]
     silent: Callable[[bool], None]
 
@@ -147,7 +150,10 @@
             reply = self._driver.hold(self._table.acknowledged, wait_s, renew_s, timeout_s)
         except EndpointGone:
             if life == self.life:
-                self._hooks.gone("another life of it answers")
+                self._hooks.gone("another endpoint answers in its place")
+        except EndpointStartedAgain as exc:
+            if life == self.life:
+                self._hooks.started_again(exc.born)
         except NoAnswer as exc:
             if life == self.life:
                 self._on_silence(str(exc))
@@ -175,7 +181,7 @@
         life = self.life
         try:
             reply = self._driver.hold(self._table.acknowledged, 0.0, 0.0, LOOK_PATIENCE_S)
-        except (EndpointGone, NoAnswer) as exc:
+        except (EndpointGone, EndpointStartedAgain, NoAnswer) as exc:
             # The look that waits finds the same, and acts on it.
             self._metrics.count("endpoint_silences", label=type(exc).__name__)
         else:
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -161,7 +161,7 @@
         view.heard_at = self._board.clock.now()
         if before != msg:
             logger.bind(
-                peer=agent, endpoint=msg.endpoint, accepting=msg.accepting, service=msg.service
+                peer=agent, endpoint=msg.life, accepting=msg.accepting, service=msg.service
             ).info("endpoint state")
         if msg.accepting:
             self._ends.lose_earlier_lives(agent)
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -86,8 +86,8 @@
 class Wish(NamedTuple):
     """What a task asks of an endpoint.
 
-    ``avoid`` names endpoints on which it ended badly; ``full`` those that hold all they may of
-    its step.
+    ``avoid`` names lives of endpoints on which it ended badly; ``full`` those that hold all they
+    may of its step.
     """
 
     service: str
@@ -201,7 +201,7 @@
 
     def _suits(self, agent: AgentView, wish: Wish) -> bool:
         state = agent.state
-        if state is None or state.endpoint in wish.avoid or state.endpoint in wish.full:
+        if state is None or state.life in wish.avoid or state.life in wish.full:
             return False
         if wish.estimate_ms > agent.longest_ms:
             return False
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -50,14 +50,14 @@
 
 @dataclass
 class TaskState:
-    """One task of a job."""
+    """One task of a job; ``life`` is the life of the endpoint that it was given to last."""
 
     name: str
     step: int
     phase: Phase = Phase.WAITING
     run: int = FIRST_RUN - 1
     agent: str = ""
-    endpoint: str = ""
+    life: str = ""
     failures: int = 0
     sent_at: float = 0.0
     avoid: set[str] = field(default_factory=set)
@@ -147,16 +147,16 @@
         if not most:
             return frozenset()
         held = Counter(
-            t.endpoint for t in self.tasks.values() if t.step == task.step and t.phase is Phase.OUT
+            t.life for t in self.tasks.values() if t.step == task.step and t.phase is Phase.OUT
         )
-        return frozenset(endpoint for endpoint, count in held.items() if count >= most)
+        return frozenset(life for life, count in held.items() if count >= most)
 
-    def assign(self, task: TaskState, agent: str, endpoint: str, now: float) -> int:
+    def assign(self, task: TaskState, agent: str, life: str, now: float) -> int:
         """Hand a task to an agent and return the number of its run."""
         task.phase = Phase.OUT
         task.run += 1
         task.agent = agent
-        task.endpoint = endpoint
+        task.life = life
         task.sent_at = now
         self.began = True
         return task.run
@@ -175,7 +175,7 @@
         if how is How.OLD_RUN:
             task.run += OLD_RUN_STEP
         elif how not in (How.NO_ROOM, How.DRAINING):
-            task.avoid.add(task.endpoint)
+            task.avoid.add(task.life)
         if how is How.FAILED:
             task.failures += 1
             self.failed = self.failed or task.failures >= self.queue.max_attempts
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -104,7 +104,15 @@
 class EndpointReport(NamedTuple):
     """What an endpoint says of itself in a heartbeat.
 
-    ``drain_remaining_s`` is the least time that a draining endpoint still runs tasks.
+    Attributes
+    ----------
+    drain_remaining_s : float
+        The least time that a draining endpoint still runs tasks, in seconds.
+    sequence : int
+        Counts the heartbeats of one life from 1.
+    born : int
+        When this life of the endpoint began, in Unix milliseconds; 0 when it is not told. An
+        endpoint may start again under its id, and what was known of it before then holds no more.
     """
 
     endpoint: str
@@ -116,6 +124,7 @@
     draining: bool
     drain_remaining_s: float
     sequence: int
+    born: int = 0
 
 
 class StartVerdict(Enum):
@@ -175,7 +184,21 @@
 
 
 class EndpointGone(Exception):
-    """Another life of the endpoint answered: whatever the earlier one ran has ended."""
+    """An endpoint with another id answered: whatever the earlier one ran has ended."""
+
+
+class EndpointStartedAgain(Exception):
+    """Another life answered under the same id: what the earlier one ran has ended.
+
+    Attributes
+    ----------
+    born : int
+        When the present life began, in Unix milliseconds.
+    """
+
+    def __init__(self, born: int) -> None:
+        super().__init__(born)
+        self.born = born
 
 
 class NoAnswer(Exception):
@@ -216,7 +239,9 @@
         Raises
         ------
         EndpointGone
-            When another life of the endpoint answered.
+            When an endpoint with another id answered.
+        EndpointStartedAgain
+            When a later life of the same endpoint answered.
         NoAnswer
             When nothing readable came in time.
         """
--- a/src/gentianmux/leased/placing.py
+++ b/src/gentianmux/leased/placing.py
@@ -122,7 +122,7 @@
             agent = self._board.view.choose(self._wish(job, task, serving), serving)
             if agent is None or agent.state is None:
                 return False
-            run = job.assign(task, agent.process, agent.state.endpoint, now)
+            run = job.assign(task, agent.process, agent.state.life, now)
             step = job.step_of(task)
             number = agent.assigned + 1
             agent.pending[number] = agent.pending.get(number, NO_ROOM).plus(step.need)
@@ -136,7 +136,7 @@
 
     def _wish(self, job: JobState, task: TaskState, serving: list[AgentView]) -> Wish:
         step = job.step_of(task)
-        others = [a for a in serving if a.state is not None and a.state.endpoint not in task.avoid]
+        others = [a for a in serving if a.state is not None and a.state.life not in task.avoid]
         avoid = frozenset(task.avoid) if others else frozenset()
         return Wish(
             job.queue.service,
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -30,7 +30,15 @@
 
 @dataclass
 class Run:
-    """One run at the endpoint, and for whom it runs."""
+    """One run at the endpoint, and for whom it runs.
+
+    Attributes
+    ----------
+    listed : bool
+        Whether a look has shown it at work.
+    carried : bool
+        Whether it was ordered before the endpoint started again: it may have run, and ended then.
+    """
 
     key: RunKey
     entry: str
@@ -41,6 +49,8 @@
     answered_at: float = 0.0
     stop_why: How = How.STOPPED
     stopped_at: float | None = None
+    listed: bool = False
+    carried: bool = False
     missing: int = 0
     progress: Progress = field(default_factory=lambda: Progress(0.0))
 
@@ -89,6 +99,23 @@
         self.foreign = set()
         self.looked = False
 
+    def turn_over(self) -> list[Finished]:
+        """Begin with a later life of the endpoint, and end what the earlier one was seen to run.
+
+        A start that no look has shown may have reached either life. It keeps its room until looks
+        at the later one tell, and is never reported as one that did nothing.
+        """
+        finished = self._lose([run.key for run in self.runs.values() if run.listed])
+        for run in self.runs.values():
+            run.carried = True
+            run.stopped_at = None
+            if run.stop_why.never_ran:
+                run.stop_why = How.LOST
+        self.acknowledged = 0
+        self.foreign = set()
+        self.looked = False
+        return finished
+
     @property
     def is_clean(self) -> bool:
         """Whether the endpoint was looked at and runs nothing that an earlier agent began."""
@@ -189,6 +216,7 @@
 
     def _seen_active(self, run: Run, percent: float, now: float) -> None:
         run.missing = 0
+        run.listed = True
         run.progress = run.progress.seen(percent, now)
         if run.phase in (Phase.STARTING, Phase.DOUBTFUL):
             run.phase = Phase.RUNNING
@@ -198,7 +226,7 @@
 
     def _not_listed(self, run: Run, asked_at: float) -> Iterator[Finished]:
         if run.phase is Phase.DOUBTFUL and asked_at > run.answered_at:
-            self.want_stopped(run.key, How.NOT_STARTED)
+            self.want_stopped(run.key, How.LOST if run.carried else How.NOT_STARTED)
         elif run.phase is Phase.RUNNING and asked_at > run.answered_at:
             run.missing += 1
             if run.missing >= MISSING_LOOKS:
@@ -210,7 +238,10 @@
 
     def lose_all(self) -> list[Finished]:
         """End every run: its endpoint's life, or every lease, is over."""
-        finished = [self._finish(key, How.LOST) for key in list(self.runs)]
+        return self._lose(list(self.runs))
+
+    def _lose(self, keys: list[RunKey]) -> list[Finished]:
+        finished = [self._finish(key, How.LOST) for key in keys]
         return [each for each in finished if each is not None]
 
     def _finish(self, key: RunKey, how: How) -> Finished | None:
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -446,7 +446,10 @@
 
 
 class EndpointState(NamedTuple):
-    """The endpoint beside an agent, and whether the agent starts anything there."""
+    """The endpoint beside an agent, and whether the agent starts anything there.
+
+    ``born`` is when the endpoint started, in Unix milliseconds; 0 when it is not told.
+    """
 
     endpoint: str
     service: str
@@ -456,6 +459,12 @@
     gpu: int
     labels: list[str]
     accepting: bool
+    born: int = 0
+
+    @property
+    def life(self) -> str:
+        """Names one life of the endpoint: what is held against it ends when it starts again."""
+        return f"{self.endpoint}@{self.born}" if self.born else self.endpoint
 
 
 class ConfigWanted(NamedTuple):
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -12,13 +12,14 @@
     EndedRow,
     EndpointGone,
     EndpointReport,
+    EndpointStartedAgain,
     HoldReply,
     How,
     NoAnswer,
     StartVerdict,
 )
 from ..leased.room import Room
-from ..typed_json import number, table, text, texts, whole
+from ..typed_json import number, read_object, table, text, texts, whole
 from .http_call import HttpCaller, HttpReply
 
 START_S = 0.08
@@ -39,6 +40,14 @@
 REPLACED = 421
 """Status by which another life of the endpoint answers."""
 
+UNTOLD = 0
+"""Stands for the time of an endpoint's start where it does not tell it; its id then is new."""
+
+FENCE_LEAP = 2
+"""Factor by which a fence rises that an endpoint has seen a higher one of: its clock may have begun
+anew, anywhere, since an earlier agent took it as its fence. Ten calls of some 2 ms make up a
+thousandfold."""
+
 _STATES = ("ready", "draining")
 
 _HOW = {
@@ -80,9 +89,21 @@
         draining=state == "draining",
         drain_remaining_s=number(content, "drain_remaining_ms", 0) / 1000,
         sequence=whole(content, "seq"),
+        born=whole(content, "born", UNTOLD),
     )
 
 
+def read_farewell(body: bytes) -> int:
+    """When the endpoint that says it ends was started, in Unix milliseconds; 0 when untold.
+
+    Raises
+    ------
+    ValueError
+        When there is a body that cannot be read.
+    """
+    return whole(read_object(body), "born", UNTOLD) if body else UNTOLD
+
+
 class PlatformEndpoint:
     """Starts, stops and looks at runs; keeps the endpoint's clock and the agent's fence.
 
@@ -103,21 +124,38 @@
         self._clock_ms = 0.0
         self._clock_at = 0.0
         self._lease_end = 0.0
+        self._endpoint = ""
+        self._born = UNTOLD
+        self._lives = 0
+        self._lowest_fence = 0
 
     def attach(self, report: EndpointReport) -> None:
-        """Turn to another life of the endpoint; the first look fixes a new fence."""
+        """Turn to another life of the endpoint; the first look fixes a new fence.
+
+        A life under the same id may have seen this agent's last fence in a call that was meant for
+        the one before, and hold a run of it: the new fence is higher, the leases last as long.
+        """
+        is_same_id = report.endpoint == self._endpoint
+        self._lowest_fence = self._fence + 1 if is_same_id else 0
+        self._lease_end = self._lease_end if is_same_id else 0.0
+        self._endpoint = report.endpoint
+        self._born = report.born
+        self._lives += 1
         self._headers = {EXPECT_INSTANCE: report.endpoint}
         self._fence = 0
         self._clock_ms = 0.0
-        self._lease_end = 0.0
 
     def is_present(self, report: EndpointReport) -> bool | None:
         """Whether the life that a heartbeat came from is the one that answers."""
         headers = {EXPECT_INSTANCE: report.endpoint}
-        body = json.dumps({"fence": 0, "acknowledged": 0, "wait_ms": 0}).encode()
+        body = json.dumps({"fence": self._fence, "acknowledged": 0, "wait_ms": 0}).encode()
         try:
-            # Without a fence it is refused or does nothing; only who answers counts.
-            return self._looks.call("POST", "/v1/hold", body, START_S, headers).status != REPLACED
+            # It renews and acknowledges nothing; only who answers counts.
+            reply = self._looks.call("POST", "/v1/hold", body, START_S, headers)
+            if reply.status == REPLACED:
+                return False
+            told = _born_of(reply.json()) if reply.status == 200 else UNTOLD
+            return UNTOLD in (told, report.born) or told == report.born
         except NoAnswer as exc:
             logger.bind(endpoint=report.endpoint, reason=str(exc)).info("no answer to a probe")
             return None
@@ -172,17 +210,29 @@
         if reply.status == REPLACED:
             raise EndpointGone
         if reply.status == 409:
+            self._lowest_fence = max(self._lowest_fence, self._fence * FENCE_LEAP)
             self._fence = 0
             raise NoAnswer("the endpoint has seen a higher fence")
         if reply.status != 200:
             raise NoAnswer(f"status {reply.status} to a look")
-        return _read_look(reply.json(), asked_at)
+        content = reply.json()
+        self._check_life(_born_of(content))
+        return _read_look(content, asked_at)
+
+    def _check_life(self, born: int) -> None:
+        """Raise unless a look was answered by the life that this agent has turned to."""
+        if UNTOLD in (born, self._born) or born == self._born:
+            return
+        if born < self._born:
+            raise NoAnswer("a late answer of an earlier life")
+        raise EndpointStartedAgain(born)
 
     def _raise_fence(self) -> None:
         """Learn the endpoint's clock, and make it the fence.
 
         It rises through one life of the endpoint, so orders of earlier agents, even those
-        carried out late, are refused from the next call on.
+        carried out late, are refused from the next call on. Where the endpoint has started again
+        meanwhile, its clock may be lower than a fence that it has seen.
         """
         content = {"acknowledged": 0, "wait_ms": 0}
         reply = self._call(self._looks, "/v1/hold", content, START_S)
@@ -190,7 +240,7 @@
             raise EndpointGone
         if not self._clock_ms:
             raise NoAnswer(f"status {reply.status} without a clock")
-        self._fence = int(self._clock_ms)
+        self._fence = max(int(self._clock_ms), self._lowest_fence)
 
     def _until(self, lease_s: float, asked_at: float) -> int:
         self._lease_end = max(self._lease_end, asked_at + lease_s * CLOCK_DRIFT + self._stop_s)
@@ -200,14 +250,24 @@
         self, caller: HttpCaller, path: str, content: dict[str, Any], timeout_s: float
     ) -> HttpReply:
         body = json.dumps({**content, "fence": self._fence}).encode()
+        lives = self._lives
         reply = caller.call("POST", path, body, timeout_s, self._headers)
-        if reply.body and reply.status != REPLACED:
+        # A late answer of an earlier life tells nothing of the present one's clock.
+        if reply.body and reply.status != REPLACED and lives == self._lives:
             clock_ms = reply.json().get("clock_ms")
             if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
                 self._clock_ms, self._clock_at = float(clock_ms), monotonic()
         return reply
 
 
+def _born_of(content: dict[str, Any]) -> int:
+    """When the life that lists its runs began, in Unix milliseconds."""
+    try:
+        return whole(content, "born", UNTOLD)
+    except ValueError as exc:
+        raise NoAnswer(f"a look that cannot be read: {exc}") from exc
+
+
 def _read_look(content: dict[str, Any], asked_at: float) -> HoldReply:
     try:
         # A row's third field is its checkpoint; no job served here asks for any.
--- a/src/gentianmux/platform/heartbeats.py
+++ b/src/gentianmux/platform/heartbeats.py
@@ -9,7 +9,7 @@
 from ..leased.agent import Agent
 from ..settings import Settings
 from ..typed_json import read_object
-from .endpoint import read_report
+from .endpoint import read_farewell, read_report
 
 _PATH = re.compile(r"/v1/instances/([^/]{1,100})/(heartbeat|deregister)\Z")
 
@@ -41,7 +41,7 @@
         try:
             body = read_body(environ, self._cfg)
             if call == "deregister":
-                self._agent.on_left(endpoint)
+                self._agent.on_left(endpoint, read_farewell(body))
                 return "200 OK"
             report = read_report(endpoint, read_object(body), self._endpoint_address)
         except (GentianmuxError, ValueError) as exc:
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -325,6 +325,7 @@
   gpu @5 :Int64;
   labels @6 :List(Text);
   accepting @7 :Bool;
+  born @8 :Int64;
 }
 
 struct ConfigWanted {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -37,6 +37,7 @@
     m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
     m.LoadEcho(9, 3, True, [m.Claim(3200, 128, 1, 1600, True, False, 0, 120)]),
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
+    m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a"], True, born=1_790_000_000_000),
     m.ConfigWanted(3, 4096),
     m.ConfigPiece(3, 4096, 4100, b"last"),
     m.Gossip(
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -12,13 +12,36 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
+from time import monotonic
 
 import gevent
 import pytest
-from platform_nodes import Deployment, job_body
-from test_leased_world import assert_kept, outcome, ready_world
+from platform_nodes import Deployment, job_body, served
+from test_leased_parts import fleet
+from test_leased_world import _disturb, assert_kept, outcome, ready_world
+from test_platform_adapter import REPORT, SPEC
 
+from bench.leased_world import World
+from gentianmux.leased.agent import Agent
+from gentianmux.leased.directory import Announcement, decode_announcement
+from gentianmux.leased.endpoint_word import Word, judge
+from gentianmux.leased.fleet_view import Wish
 from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.model import (
+    ActiveRun,
+    EndedRow,
+    EndpointReport,
+    EndpointStartedAgain,
+    HoldReply,
+    How,
+    NoAnswer,
+    StartVerdict,
+)
+from gentianmux.leased.room import Room
+from gentianmux.leased.run_table import RunTable
+from gentianmux.platform.endpoint import PlatformEndpoint, read_farewell, read_report
+from standins.platform_endpoint import PlatformEndpointApp
 
 COMPLETED = b'{"state": "completed"}'
 
@@ -75,3 +98,352 @@
     gevent.sleep(0.6)
     assert deployment.submit("00000000000000b2", job_body())[0] == 503
     assert len(endpoint.starts) == before + 4
+
+
+# What a heartbeat is
+
+FIRST = EndpointReport(
+    "i-1", "10.0.0.1:80", "s", "fd", Room(8, 8), (), False, 0.0, sequence=9, born=100
+)
+
+
+@pytest.mark.parametrize(
+    "change, word",
+    [
+        ({"sequence": 10}, Word.CURRENT),
+        ({"sequence": 8}, Word.OVERTAKEN),
+        ({"sequence": 1, "born": 200}, Word.STARTED_AGAIN),
+        ({"sequence": 10, "born": 200}, Word.STARTED_AGAIN),
+        ({"sequence": 10, "born": 99}, Word.ENDED),
+        ({"sequence": 10, "born": 0}, Word.FOREIGN),
+        ({"endpoint": "i-2", "born": 200}, Word.OTHER),
+    ],
+)
+def test_a_heartbeat_is_judged_by_its_endpoints_start_before_its_number(
+    change: dict[str, object], word: Word
+) -> None:
+    assert judge(FIRST._replace(**change), FIRST) is word  # type: ignore[arg-type]
+    assert judge(FIRST, None) is Word.OTHER
+
+
+def test_heartbeats_without_a_start_are_judged_by_their_number() -> None:
+    untold = FIRST._replace(born=0)
+    assert judge(untold._replace(sequence=8), untold) is Word.OVERTAKEN
+    assert judge(untold._replace(sequence=10), untold) is Word.CURRENT
+
+
+# The agent
+
+
+def agent_of(world: World, name: str = "w0") -> Agent:
+    agent = world.machines[name].agent
+    assert agent is not None
+    return agent
+
+
+def test_an_endpoint_that_drained_before_it_crashed_is_used_after_its_start() -> None:
+    world = ready_world(agents=1)
+    world.machines["w0"].endpoint.draining = True
+    world.run(1.0)
+    assert not agent_of(world).is_accepting
+    world.restart_endpoint("w0", down_s=0.5)
+    world.run(1.2)
+    assert agent_of(world).is_accepting
+
+
+def test_an_endpoint_may_start_again_with_another_size_and_service() -> None:
+    world = ready_world(agents=1)
+    world.run(1.0)
+    agent = agent_of(world)
+    known = agent.report
+    assert known is not None
+    world.restart_endpoint("w0", down_s=0.1)
+    world.run(0.2)
+    world.machines["w0"].endpoint.capacity = Room(4000, 999, 0)
+    later = world.report_of(world.machines["w0"])._replace(service="other", sequence=1)
+    agent._feed.current = None
+    agent.on_report(later)
+    assert agent.report == later
+    assert agent.table.room.capacity == Room(4000, 999, 0)
+
+
+def test_nothing_begins_at_a_life_that_has_answered_but_not_reported() -> None:
+    world = ready_world(agents=1)
+    agent = agent_of(world)
+    world.run(0.05)
+    world.restart_endpoint("w0", down_s=0.01)
+    # A look that met silence takes 0.24 s; the next heartbeat comes 0.45 s from here.
+    world.run(0.3)
+    assert agent.report is None
+    assert agent.looks.answering
+    assert not agent.is_accepting
+    world.run(0.6)
+    assert agent.is_accepting
+
+
+def test_a_late_heartbeat_of_an_earlier_life_under_the_same_id_changes_nothing() -> None:
+    world = ready_world(agents=1)
+    late = world.report_of(world.machines["w0"], draining=True)
+    world.restart_endpoint("w0", down_s=0.5)
+    world.run(1.5)
+    job = world.submit("e0", tasks=6, run_s=0.5)
+    world.run(0.1)
+    known = agent_of(world).report
+    agent_of(world).on_report(late._replace(sequence=99))
+    assert agent_of(world).report is known
+    assert agent_of(world).is_accepting
+    world.run(1.0)
+    assert outcome(job) is Outcome.COMPLETED
+    assert world.starts == 6
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_a_late_farewell_of_an_earlier_life_loses_no_run(told: bool) -> None:
+    world = ready_world(agents=1)
+    earlier = world.machines["w0"].endpoint
+    world.restart_endpoint("w0", down_s=0.5)
+    world.run(1.5)
+    job = world.submit("e0", tasks=6, run_s=0.5)
+    world.run(0.1)
+    agent_of(world).on_left(earlier.name, earlier.born if told else 0)
+    world.run(1.0)
+    assert outcome(job) is Outcome.COMPLETED
+    assert world.starts == 6
+    assert_kept(world)
+
+
+def test_the_farewell_of_the_present_life_is_believed() -> None:
+    world = ready_world(agents=1)
+    endpoint = world.machines["w0"].endpoint
+    agent_of(world).on_left(endpoint.name, endpoint.born)
+    assert agent_of(world).report is None
+    endpoint.up = False
+    world.run(0.1)
+    assert not agent_of(world).is_accepting
+
+
+@pytest.mark.parametrize("down_s", [0.0, 0.004, 0.05, 0.3, 1.2])
+@pytest.mark.parametrize("after_s", [0.001, 0.005, 0.03, 0.2])
+def test_runs_on_their_way_while_the_endpoint_starts_again_run_once_at_a_time(
+    down_s: float, after_s: float
+) -> None:
+    world = ready_world(agents=2)
+    jobs = [world.submit("e0", tasks=8, run_s=0.4, time_limit_s=9.0) for _ in range(2)]
+    world.run(after_s)
+    world.restart_endpoint("w0", down_s)
+    world.run(6.0)
+    assert {outcome(job) for job in jobs} == {Outcome.COMPLETED}
+    assert_kept(world)
+
+
+@pytest.mark.parametrize("seed", [*range(24), 38, 77, 88, 93, 160, 278, 301, 334, 429])
+def test_random_walks_with_endpoints_that_start_again_drain_and_leave(seed: int) -> None:
+    world = ready_world(agents=5, entries=3, seed=seed)
+    rng = Random(seed)
+    for _ in range(60):
+        _disturb_endpoints(world, rng)
+        for _ in range(rng.randrange(4)):
+            entry = rng.choice(sorted(world.entries))
+            world.submit(entry, tasks=rng.randrange(1, 9), run_s=rng.choice([0.06, 0.2, 0.9]))
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(9.0)
+    assert_kept(world)
+
+
+def _disturb_endpoints(world: World, rng: Random) -> None:
+    machine = world.machines[rng.choice(sorted(world.machines))]
+    what = rng.randrange(6)
+    if what == 0 and machine.endpoint.up:
+        late = world.report_of(machine, rng.random() < 0.5)
+        farewell = (machine.endpoint.name, rng.choice([0, machine.endpoint.born]))
+        world.restart_endpoint(machine.name, rng.choice([0.0, 0.01, 0.1, 0.6, 2.0]))
+        world.at(rng.uniform(0.7, 4.0), "", _arrive_late, world, machine.name, late, farewell)
+    elif what == 1:
+        machine.endpoint.draining = True
+    elif what == 2 and machine.endpoint.draining and machine.endpoint.up:
+        agent_of(world, machine.name).on_left(machine.endpoint.name, machine.endpoint.born)
+        world.replace_endpoint(machine.name)
+    else:
+        _disturb(world, rng)
+
+
+def _arrive_late(
+    world: World, name: str, report: EndpointReport, farewell: tuple[str, int]
+) -> None:
+    """Let the last words of an earlier life arrive, unless nobody is there to take them."""
+    if world.process_of(name) in world.alive:
+        agent_of(world, name).on_report(report)
+        agent_of(world, name).on_left(*farewell)
+
+
+# The account of runs
+
+
+def table_with(*runs: str) -> RunTable:
+    table = RunTable()
+    table.reset(Room(8000, 800))
+    for task in runs:
+        assert table.begin((task, 1), "e1", Room(1600, 64), 100, now=1.0)
+    return table
+
+
+def test_the_ends_of_a_later_life_count_anew() -> None:
+    table = table_with("a")
+    table.looked_at(HoldReply(1.0, (), (EndedRow(50, "z", 1, How.DONE),)), 1.0)
+    assert table.acknowledged == 50
+    table.turn_over()
+    table.started(("a", 1), 1.1)
+    (done,) = table.looked_at(HoldReply(1.2, (), (EndedRow(1, "a", 1, How.DONE),)), 1.2)
+    assert (done.run.key, done.how) == (("a", 1), How.DONE)
+    assert table.acknowledged == 1
+
+
+def test_what_the_earlier_life_was_seen_to_run_is_lost_and_what_may_be_under_way_is_kept() -> None:
+    table = table_with("seen", "confirmed", "doubtful")
+    table.started(("seen", 1), 1.0)
+    table.looked_at(HoldReply(1.1, (ActiveRun("seen", 1, 10.0),), ()), 1.1)
+    table.started(("confirmed", 1), 1.1)
+    table.unanswered(("doubtful", 1), 1.1)
+    assert [(done.run.key[0], done.how) for done in table.turn_over()] == [("seen", How.LOST)]
+    assert table.room.free == Room(8000 - 2 * 1600, 800 - 2 * 64)
+    assert not table.is_clean
+    active = (ActiveRun("confirmed", 1, 5.0),)
+    assert table.looked_at(HoldReply(1.3, active, ()), 1.3) == []
+    assert table.due_stops(1.3) == [("doubtful", 1)]
+    table.stop_confirmed(("doubtful", 1), 1.35)
+    (gone,) = table.looked_at(HoldReply(1.4, active, ()), 1.4)
+    # It may have run in the earlier life: that it did nothing is not proved.
+    assert (gone.run.key[0], gone.how) == ("doubtful", How.LOST)
+    assert list(table.runs) == [("confirmed", 1)]
+
+
+# The driver
+
+
+def report_of(app: PlatformEndpointApp) -> EndpointReport:
+    return read_report(app.instance, {**REPORT, "born": app.born}, "10.0.0.1:80")
+
+
+def test_a_look_tells_that_the_endpoint_has_started_again() -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        gevent.sleep(0.01)
+        app.start_again()
+        with pytest.raises(EndpointStartedAgain) as caught:
+            driver.hold(0, 0.0, 0.5, 1.0)
+        assert caught.value.born == app.born
+        assert driver.is_present(report_of(app)) is True
+        assert driver.is_present(report_of(app)._replace(born=app.born - 9)) is False
+        driver.attach(report_of(app))
+        assert driver.hold(0, 0.0, 0.5, 1.0).active == ()
+        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartVerdict.STARTED
+        assert [run.task for run in driver.hold(0, 0.0, 0.5, 1.0).active] == ["t"]
+
+
+def test_a_late_answer_of_an_earlier_life_counts_as_none() -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app)._replace(born=app.born + 9))
+        with pytest.raises(NoAnswer):
+            driver.hold(0, 0.0, 0.5, 1.0)
+
+
+def test_leases_are_counted_by_the_clock_of_the_present_life() -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        app.start_again(clock_start_ms=70)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.0, 1.0)
+        # Sent 0.4 s after it was decided, under a lease of 0.2 s: refused as late.
+        verdict = driver.start("t", 1, SPEC, 0.2, monotonic() - 0.4)
+        assert verdict is StartVerdict.REFUSED
+
+
+@pytest.mark.parametrize("attached_before", [True, False])
+def test_a_lower_clock_after_a_start_locks_no_agent_out(attached_before: bool) -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        earlier = PlatformEndpoint(address, 0.05)
+        earlier.attach(report_of(app))
+        earlier.hold(0, 0.0, 0.5, 1.0)
+        app.start_again(clock_start_ms=3)
+        # Meant for the earlier life: the present one now knows the earlier fence.
+        assert earlier.stop("t", 1)
+        assert app.fence > app.clock_ms()
+        driver = earlier if attached_before else PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app))
+        for _ in range(20):
+            try:
+                driver.hold(0, 0.0, 0.5, 1.0)
+                break
+            except NoAnswer:
+                continue
+        assert driver.start("t", 2, SPEC, 0.5, monotonic()) is StartVerdict.STARTED
+
+
+@pytest.mark.parametrize("body, born", [(b"", 0), (b"{}", 0), (b'{"born": 12}', 12)])
+def test_a_farewell_may_tell_the_start(body: bytes, born: int) -> None:
+    assert read_farewell(body) == born
+
+
+@pytest.mark.parametrize("body", [b"[]", b'{"born": "12"}', b'{"born": -1}', b'{"born": 1.5}'])
+def test_a_farewell_that_cannot_be_read_is_refused(body: bytes) -> None:
+    with pytest.raises(ValueError):
+        read_farewell(body)
+
+
+@pytest.mark.parametrize("born", ["1", 1.5, None, True, -1, [1]])
+def test_a_heartbeat_with_a_foreign_start_is_none(born: object) -> None:
+    with pytest.raises(ValueError):
+        read_report("i-1", {**REPORT, "born": born}, "10.0.0.1:80")
+
+
+# Entries and store
+
+
+def test_what_is_held_against_an_endpoint_ends_when_it_starts_again() -> None:
+    view = fleet(1.0, {"a": 16000})
+    agent = view.agents["a.1"]
+    assert agent.state is not None
+    agent.state = agent.state._replace(born=100)
+    wish = Wish("s", Room(1600, 64), avoid=frozenset({agent.state.life}))
+    assert view.choose(wish, view.willing("s", 1.0)) is None
+    agent.state = agent.state._replace(born=200)
+    assert view.choose(wish, view.willing("s", 1.0)) is agent
+
+
+def test_an_announcement_keeps_the_start_of_the_endpoint() -> None:
+    mine = Announcement("w1", "agent", "10.0.0.1:7720", FIRST)
+    assert decode_announcement("w1", mine.encode()) == mine
+
+
+def test_an_announcement_of_the_last_version_names_an_endpoint_without_a_start() -> None:
+    mine = Announcement("w1", "agent", "10.0.0.1:7720", FIRST)
+    older = mine.encode().replace(b', "born": 100', b"")
+    read = decode_announcement("w1", older)
+    assert read is not None and read.report == FIRST._replace(born=0)
+
+
+def test_an_agent_that_resumes_an_ended_life_from_the_store_waits_for_the_present_one() -> None:
+    world = ready_world(agents=1)
+    stored = world.report_of(world.machines["w0"])._replace(sequence=0)
+    world.kill(world.process_of("w0"))
+    world.restart_endpoint("w0", down_s=0.0)
+    world.run(0.1)
+    world.start_agent("w0")
+    agent_of(world).on_report(stored)
+    world.run(0.05)
+    assert not agent_of(world).is_accepting
+    world.run(0.6)
+    assert agent_of(world).is_accepting
+    job = world.submit("e0", tasks=4, run_s=0.2)
+    world.run(0.5)
+    assert outcome(job) is Outcome.COMPLETED
+    assert_kept(world)
