--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -148,6 +148,8 @@
         finished = self._table.lose_all()
         self._table.reset(NO_ROOM)
         self._turned(finished)
+        # An agent that starts anew would take up the ended life from its announcement.
+        self._hooks.news(None)
 
     def started_again(self, born: int) -> None:
         """Turn to a later life that has answered; nothing begins there until it has reported.
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -419,6 +419,24 @@
     assert view.choose(wish, view.willing("s", 1.0)) is agent
 
 
+def test_what_is_announced_follows_the_life_at_work() -> None:
+    world = ready_world(agents=1)
+    endpoint = world.machines["w0"].endpoint
+    announced: list[tuple[int, bool] | None] = []
+
+    def announce(report: EndpointReport | None) -> None:
+        announced.append(None if report is None else (report.born, report.draining))
+
+    agent_of(world).on_endpoint = announce
+    endpoint.draining = True
+    world.run(0.6)
+    world.restart_endpoint("w0", down_s=0.1)
+    world.run(1.0)
+    again = world.machines["w0"].endpoint
+    agent_of(world).on_left(again.name, again.born)
+    assert announced == [(endpoint.born, True), (again.born, False), None]
+
+
 def test_an_announcement_keeps_the_start_of_the_endpoint() -> None:
     mine = Announcement("w1", "agent", "10.0.0.1:7720", FIRST)
     assert decode_announcement("w1", mine.encode()) == mine
