A heartbeat that tells a later start is believed once the endpoint answers with it

Cause: read while reviewing the mend: a heartbeat with a false start (any whole number may be one) would have given up all that runs, and its start, higher than every true one, would have shut the endpoint out for good; a time of day set back the same. Change: such a heartbeat is checked as one under another id is, by asking who answers; whoever answers a look is the life at work, whatever its start. A probe shows another endpoint no fence of this one's clock.

--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -21,6 +21,8 @@
 """Times that an endpoint is asked whether a heartbeat of another life is its own; a third of the
 answers may be lost, and the next heartbeat is seconds away."""
 
+_OTHER_LIVES = (Word.OTHER, Word.STARTED_AGAIN)
+
 
 class TrackerHooks(NamedTuple):
     """What an agent does about what its tracker finds.
@@ -100,7 +102,7 @@
             self.unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
         elif word is Word.OVERTAKEN:
             self._pass_over(report)
-        elif word is Word.ENDED or (word is Word.OTHER and self._is_stale(report)):
+        elif word is Word.ENDED or (word in _OTHER_LIVES and self._is_stale(report)):
             self._log_stale(report)
         elif word is Word.CURRENT and self._followed:
             self._take(report)
@@ -193,10 +195,10 @@
         ).info("heartbeat overtaken")
 
     def _is_stale(self, report: EndpointReport) -> bool:
-        """Whether a heartbeat under another id is late: its sender has ended.
+        """Whether a heartbeat of another life is late, or false: its sender is not the one at work.
 
         Turning to it would declare lost what the present life runs, and another endpoint would
-        be given the same tasks.
+        be given the same tasks. Where nothing answers, the next look or heartbeat tells.
         """
         if not self._followed:
             return False
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -148,14 +148,19 @@
     def is_present(self, report: EndpointReport) -> bool | None:
         """Whether the life that a heartbeat came from is the one that answers."""
         headers = {EXPECT_INSTANCE: report.endpoint}
-        body = json.dumps({"fence": self._fence, "acknowledged": 0, "wait_ms": 0}).encode()
+        is_same_id = report.endpoint == self._endpoint
+        # Another endpoint must not see a fence of this one's clock.
+        fence = self._fence if is_same_id else 0
+        body = json.dumps({"fence": fence, "acknowledged": 0, "wait_ms": 0}).encode()
         try:
             # It renews and acknowledges nothing; only who answers counts.
             reply = self._looks.call("POST", "/v1/hold", body, START_S, headers)
             if reply.status == REPLACED:
                 return False
-            told = _born_of(reply.json()) if reply.status == 200 else UNTOLD
-            return UNTOLD in (told, report.born) or told == report.born
+            if reply.status != 200:
+                # Refused for the fence: of a known id it stays open which life it is.
+                return None if is_same_id and report.born else True
+            return _born_of(reply.json()) in (UNTOLD, report.born) or not report.born
         except NoAnswer as exc:
             logger.bind(endpoint=report.endpoint, reason=str(exc)).info("no answer to a probe")
             return None
@@ -220,12 +225,12 @@
         return _read_look(content, asked_at)
 
     def _check_life(self, born: int) -> None:
-        """Raise unless a look was answered by the life that this agent has turned to."""
-        if UNTOLD in (born, self._born) or born == self._born:
-            return
-        if born < self._born:
-            raise NoAnswer("a late answer of an earlier life")
-        raise EndpointStartedAgain(born)
+        """Raise unless a look was answered by the life that this agent has turned to.
+
+        Who answers is at work, whatever its time of start: a time of day may have been set back.
+        """
+        if UNTOLD not in (born, self._born) and born != self._born:
+            raise EndpointStartedAgain(born)
 
     def _raise_fence(self) -> None:
         """Learn the endpoint's clock, and make it the fence.
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -199,6 +199,31 @@
     assert world.starts == 6
 
 
+def test_a_heartbeat_that_tells_a_false_start_loses_no_run() -> None:
+    world = ready_world(agents=1)
+    job = world.submit("e0", tasks=6, run_s=0.5)
+    world.run(0.2)
+    known = agent_of(world).report
+    assert known is not None
+    agent_of(world).on_report(known._replace(born=10**18, sequence=1))
+    assert agent_of(world).report is known
+    world.run(1.0)
+    assert outcome(job) is Outcome.COMPLETED
+    assert world.starts == 6
+
+
+def test_an_endpoint_whose_time_of_day_was_set_back_is_followed_all_the_same() -> None:
+    world = ready_world(agents=1)
+    world.restart_endpoint("w0", down_s=0.2)
+    world.run(0.3)
+    world.machines["w0"].endpoint.born -= 50_000
+    world.run(1.5)
+    assert agent_of(world).is_accepting
+    job = world.submit("e0", tasks=4, run_s=0.2)
+    world.run(0.5)
+    assert outcome(job) is Outcome.COMPLETED
+
+
 @pytest.mark.parametrize("told", [True, False])
 def test_a_late_farewell_of_an_earlier_life_loses_no_run(told: bool) -> None:
     world = ready_world(agents=1)
@@ -347,13 +372,37 @@
         assert [run.task for run in driver.hold(0, 0.0, 0.5, 1.0).active] == ["t"]
 
 
-def test_a_late_answer_of_an_earlier_life_counts_as_none() -> None:
+@pytest.mark.parametrize("told_ms", [-9, 9])
+def test_who_answers_a_look_is_at_work_whatever_was_told_of_its_start(told_ms: int) -> None:
     app = PlatformEndpointApp("i-1")
     with served(app) as address:
         driver = PlatformEndpoint(address, 0.05)
-        driver.attach(report_of(app)._replace(born=app.born + 9))
-        with pytest.raises(NoAnswer):
+        driver.attach(report_of(app)._replace(born=app.born + told_ms))
+        with pytest.raises(EndpointStartedAgain) as caught:
             driver.hold(0, 0.0, 0.5, 1.0)
+        assert caught.value.born == app.born
+
+
+def test_a_probe_of_another_endpoint_leaves_it_no_fence() -> None:
+    earlier, later = PlatformEndpointApp("i-1"), PlatformEndpointApp("i-2")
+    with served(earlier) as address, served(later) as other:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(earlier))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        driver._looks = PlatformEndpoint(other, 0.05)._looks
+        assert driver.is_present(report_of(later)) is True
+        assert driver.is_present(report_of(earlier)) is False
+        assert later.fence == 0
+
+
+def test_a_probe_refused_for_its_fence_tells_nothing_of_a_known_id() -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        app.fence *= 2
+        assert driver.is_present(report_of(app)._replace(born=app.born + 9)) is None
 
 
 def test_leases_are_counted_by_the_clock_of_the_present_life() -> None:
