--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,36 @@
+"""Tests that are known to fail: passed over by their lines alone, and printed."""
+
+from pathlib import Path
+
+import pytest
+
+pytest_plugins = ["pytester"]
+
+CONFTEST = (Path(__file__).parent / "conftest.py").read_text()
+TESTS = """
+def test_listed():
+    assert False
+
+def test_other():
+    assert False
+"""
+
+
+def test_only_listed_tests_are_passed_over_and_their_lines_printed(
+    pytester: pytest.Pytester,
+) -> None:
+    folder = pytester.mkdir("tests")
+    (folder / "conftest.py").write_text(CONFTEST)
+    (folder / "test_it.py").write_text(TESTS)
+    line = "tests/test_it.py::test_listed | cause: a fault"
+    (pytester.path / "KNOWN-RED.txt").write_text(line)
+    result = pytester.runpytest_subprocess("-p", "no:cacheprovider")
+    result.assert_outcomes(xfailed=1, failed=1)
+    result.stdout.fnmatch_lines([f"known red: {line}"])
+
+
+def test_without_a_list_nothing_is_passed_over(pytester: pytest.Pytester) -> None:
+    folder = pytester.mkdir("tests")
+    (folder / "conftest.py").write_text(CONFTEST)
+    (folder / "test_it.py").write_text(TESTS)
+    pytester.runpytest_subprocess("-p", "no:cacheprovider").assert_outcomes(failed=2)
