--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -102,6 +102,25 @@
     assert len(endpoint.starts) == before + 4
 
 
+def test_an_agent_started_after_its_endpoint_is_not_locked_out_by_a_lower_clock(
+    deployment: Deployment,
+) -> None:
+    endpoint = deployment.endpoints["side-0"]
+    assert deployment.submit("00000000000000c1", job_body()) == (200, COMPLETED)
+    endpoint.start_again(clock_start_ms=1)
+    gevent.sleep(0.8)
+    assert deployment.submit("00000000000000c2", job_body()) == (200, COMPLETED)
+    # The earlier clock began 5 s higher, and so did the fence that the present life has seen.
+    assert endpoint.fence > endpoint.clock_ms()
+    deployment.processes["side-0"].kill()
+    deployment.processes["side-0"].wait()
+    deployment.start("side-0", "agent")
+    gevent.sleep(1.5)
+    before = len(endpoint.starts)
+    assert deployment.submit("00000000000000c3", job_body()) == (200, COMPLETED)
+    assert len(endpoint.starts) == before + 4
+
+
 # What a heartbeat is
 
 FIRST = EndpointReport(
