--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -22,6 +22,7 @@
 from test_leased_world import _disturb, assert_kept, outcome, ready_world
 from test_platform_adapter import REPORT, SPEC
 
+from bench.leased_endpoint import Work
 from bench.leased_world import World
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.directory import Announcement, decode_announcement
@@ -37,10 +38,13 @@
     How,
     NoAnswer,
     StartVerdict,
+    StepSpec,
 )
 from gentianmux.leased.room import Room
 from gentianmux.leased.run_table import RunTable
+from gentianmux.messages import Assign, LeasedTask
 from gentianmux.platform.endpoint import PlatformEndpoint, read_farewell, read_report
+from gentianmux.platform.http_call import HttpReply
 from standins.platform_endpoint import PlatformEndpointApp
 
 COMPLETED = b'{"state": "completed"}'
@@ -268,6 +272,22 @@
     assert not agent_of(world).is_accepting
 
 
+def test_a_start_that_was_not_sent_before_the_endpoint_started_again_is_not_sent() -> None:
+    world = ready_world(agents=1)
+    agent = agent_of(world)
+    endpoint = world.machines["w0"].endpoint
+    task = LeasedTask("00000000000000aa.0.0.0", 1, b"x", 1600, 64, 0, 200)
+    world.works[task.name] = (StepSpec(1, Room(1600, 64), 200), Work(0.2))
+    echo = world.entries["e0"].view.of("w0.1").newest_load  # type: ignore[union-attr]
+    agent.on_message(Assign(echo, 1, [task], []), "e0.1")
+    assert (task.name, 1) in agent.table.runs
+    endpoint.born += 1
+    agent.tracker.started_again(endpoint.born)
+    world.run(0.1)
+    assert world.starts == 0
+    assert agent.table.runs == {}
+
+
 @pytest.mark.parametrize("down_s", [0.0, 0.004, 0.05, 0.3, 1.2])
 @pytest.mark.parametrize("after_s", [0.001, 0.005, 0.03, 0.2])
 def test_runs_on_their_way_while_the_endpoint_starts_again_run_once_at_a_time(
@@ -440,6 +460,23 @@
         assert verdict is StartVerdict.REFUSED
 
 
+def test_a_late_answer_of_the_earlier_life_sets_no_clock() -> None:
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.5, 1.0)
+
+        def answer_late(*_: object) -> HttpReply:
+            driver.attach(report_of(app)._replace(born=app.born + 9))
+            return HttpReply(200, b'{"clock_ms": 900000}')
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(driver._orders, "call", answer_late)
+            driver.stop("t", 1)
+        assert driver._clock_ms == 0.0
+
+
 @pytest.mark.parametrize("attached_before", [True, False])
 def test_a_lower_clock_after_a_start_locks_no_agent_out(attached_before: bool) -> None:
     app = PlatformEndpointApp("i-1")
