The first heartbeat of another life counts although a look finds that life while it is checked

Cause: read in the mend: a heartbeat of another life is checked by asking who answers; when a look found that life within those few ms, the heartbeat was left out, and the endpoint stood unused until its next one, 1.5 s later. Change: what is followed has changed, so the heartbeat is judged anew. Before: no report after the first heartbeat, in both tests; after: accepting within 0.1 s.

--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -102,8 +102,10 @@
             self.unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
         elif word is Word.OVERTAKEN:
             self._pass_over(report)
-        elif word is Word.ENDED or (word in _OTHER_LIVES and self._is_stale(report)):
+        elif word is Word.ENDED:
             self._log_stale(report)
+        elif word in _OTHER_LIVES and self._followed:
+            self._ask_who_answers(report, word)
         elif word is Word.CURRENT and self._followed:
             self._take(report)
         else:
@@ -194,18 +196,22 @@
             draining=report.draining,
         ).info("heartbeat overtaken")
 
-    def _is_stale(self, report: EndpointReport) -> bool:
-        """Whether a heartbeat of another life is late, or false: its sender is not the one at work.
+    def _ask_who_answers(self, report: EndpointReport, word: Word) -> None:
+        """Turn to another life only when it answers: its heartbeat may be late or false.
 
         Turning to it would declare lost what the present life runs, and another endpoint would
         be given the same tasks. Where nothing answers, the next look or heartbeat tells.
         """
-        if not self._followed:
-            return False
         turns = self._turns
         answers = (self._driver.is_present(report) for _ in range(PROBES))
         present = next((answer for answer in answers if answer is not None), None)
-        return not present or turns != self._turns
+        if turns != self._turns:
+            # A look has found the other life meanwhile; left out, its next heartbeat is 1.5 s away.
+            self.hear(report)
+        elif present:
+            self._turn_to(report, word)
+        else:
+            self._log_stale(report)
 
     def _log_stale(self, report: EndpointReport) -> None:
         present = self._newest
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -247,6 +247,34 @@
     assert outcome(job) is Outcome.COMPLETED
 
 
+@pytest.mark.parametrize("same_id", [True, False])
+def test_a_first_heartbeat_counts_although_a_look_finds_its_life_while_it_is_checked(
+    same_id: bool,
+) -> None:
+    world = ready_world(agents=1)
+    agent = agent_of(world)
+    if same_id:
+        world.restart_endpoint("w0", down_s=0.0)
+        world.run(0.0)
+    else:
+        world.replace_endpoint("w0")
+    world.machines["w0"].sequence = 1
+    is_present = agent._driver.is_present
+
+    def look_meanwhile(report: EndpointReport) -> bool | None:
+        for _ in range(3):
+            agent.look()
+        return is_present(report)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(agent._driver, "is_present", look_meanwhile)
+        agent.on_report(world.report_of(world.machines["w0"]))
+    assert agent.report is not None
+    assert agent.report.born == world.machines["w0"].endpoint.born
+    world.run(0.1)
+    assert agent.is_accepting
+
+
 @pytest.mark.parametrize("told", [True, False])
 def test_a_late_farewell_of_an_earlier_life_loses_no_run(told: bool) -> None:
     world = ready_world(agents=1)
