A run that an agent does not hold counts as not begun only when the agent has said that it will not begin

Ruled out: telling connections apart by the order in which they were opened; both sides may open them, and number them differently. Change: the entry takes such runs back, and the agent answers that they did not begin and refuses an order for them that comes later. The wait of 50 ms is gone: a lost order is made up for after a round trip. An entry's newest order counts as applied when an older one comes after it.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -43,6 +43,7 @@
 from .room import NO_ROOM, Room
 from .run_table import Finished, Phase, Run, RunKey, RunTable
 from .settings import LeasedSettings, lease_s
+from .withdrawn import WithdrawnRuns
 
 UPKEEP_S = REPORT_S / 2
 """Seconds between checks of the entries' leases and of reports that are due, while something runs.
@@ -133,6 +134,7 @@
         )
         self.looks = EndpointLooks(driver, self.table, metrics, clock, self._lease_s, hooks)
         self._replacing: set[RunKey] = set()
+        self._withdrawn = WithdrawnRuns()
         self._reports = EntryReports(links, clock, self._load, self._has_runs_of)
         self._chain = self._reports.chain
         links.on_open = self._on_open
@@ -265,7 +267,7 @@
     def _(self, msg: Assign, entry: str) -> None:
         now = self._clock.now()
         self._chain.echoed(entry, msg.echo)
-        self._reports.applied[entry] = msg.number
+        self._reports.applied[entry] = max(msg.number, self._reports.applied.get(entry, 0))
         fresh = self._chain.holds(entry, now)
         refused = False
         for task in msg.tasks:
@@ -289,6 +291,8 @@
     def _begin(self, task: LeasedTask, entry: str) -> How | None:
         """Begin a run; how it was refused, or None when it was not."""
         key = (task.name, task.run)
+        if self._withdrawn.holds(entry, key):
+            return How.NOT_STARTED
         if not self.is_accepting or task.estimate_ms > self.longest_ms():
             return How.DRAINING
         if key in self.table.runs and self.table.runs[key].entry == entry:
@@ -375,11 +379,23 @@
     @on_message.register
     def _(self, msg: Withdraw, entry: str) -> None:
         for ref in msg.runs:
-            run = self.table.runs.get((ref.task, ref.run))
+            key = (ref.task, ref.run)
+            run = self.table.runs.get(key)
             if run is not None and run.entry == entry:
-                self._stop(run.key, How.STOPPED, "withdrawn")
-            self._replacing.discard((ref.task, ref.run))
+                self._stop(key, How.STOPPED, "withdrawn")
+            else:
+                self._take_back(key, entry)
         self._stop_due()
+        self._reports.flush_ended(entry)
+
+    def _take_back(self, key: RunKey, entry: str) -> None:
+        """Promise that a run which has not begun, or has ended, will not begin any more.
+
+        Only this proves to its entry that it did nothing: the order may still be on its way.
+        """
+        self._replacing.discard(key)
+        self._withdrawn.add(entry, key, self._clock.now())
+        self._reports.ended(entry, *key, How.NOT_STARTED, 0)
 
     @on_message.register
     def _(self, msg: SeenRuns, entry: str) -> None:
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -77,7 +77,6 @@
         self._ends = RunEnds(self._board)
         self._admitting = Admitting(self._board)
         self._placing = Placing(self._board, self._ends, self._admitting.admissions)
-        self._ends.on_back = self._placing.soon
         self.leaving = False
         self._leaves_at = float("inf")
         self._idle_since: float | None = None
--- a/src/gentianmux/leased/run_ends.py
+++ b/src/gentianmux/leased/run_ends.py
@@ -1,18 +1,13 @@
 """Takes in how runs ended, and ends those of agents that are lost or never had them."""
 
-from collections.abc import Callable
-
 from loguru import logger
 
-from ..messages import Holding, Withdraw
+from ..messages import Holding, RunRef, Withdraw
 from .entry_board import EntryBoard
 from .job_state import Outcome
 from .model import How, node_of
 from .ticket import Verdict
 
-SETTLE_S = 0.05
-"""Seconds after a connection opens for its agent's ended runs to arrive."""
-
 REFUSED_PAUSE_S = 0.05
 """Seconds for which an agent that refused for other reasons than room gets nothing new."""
 
@@ -27,19 +22,20 @@
 
     Attributes
     ----------
-    on_back : callable
-        Called when tasks may have come back to wait for room.
     opened_at : dict
         When the present connection of each agent's process was opened.
     """
 
     def __init__(self, board: EntryBoard) -> None:
-        self.on_back: Callable[[], None] = lambda: None
         self.opened_at: dict[str, float] = {}
         self._board = board
 
     def compare(self, msg: Holding, agent: str) -> None:
-        """Compare what an agent holds with what it was assigned, after a connection has opened."""
+        """Compare what an agent holds with what it was assigned, after a connection has opened.
+
+        A run that it does not hold may have been lost with a connection, or still be on its way by
+        one: it is taken back, and counts as not begun once the agent has said so.
+        """
         held = {(ref.task, ref.run) for ref in msg.runs}
         opened_at = self.opened_at.get(agent, 0.0)
         missing = [
@@ -47,18 +43,11 @@
             for (name, run), job in self._board.out[agent].items()
             if (name, run) not in held and job.tasks[name].sent_at < opened_at
         ]
-        if missing:
-            self._board.clock.later(SETTLE_S, self._end_missing, agent, missing)
         # A withdrawal may have been lost with the connection, and its job be at work elsewhere.
-        unwanted = [ref for ref in msg.runs if (ref.task, ref.run) not in self._board.out[agent]]
-        if unwanted:
-            self._board.links.send(agent, Withdraw(unwanted))
-
-    def _end_missing(self, agent: str, missing: list[tuple[str, int]]) -> None:
-        """End runs that an agent neither holds nor has ended: they never reached it."""
-        for name, run in missing:
-            self.take(agent, name, run, How.NOT_STARTED)
-        self.on_back()
+        unwanted = [key for key in held if key not in self._board.out[agent]]
+        if missing or unwanted:
+            refs = [RunRef(*key) for key in sorted([*missing, *unwanted])]
+            self._board.links.send(agent, Withdraw(refs))
 
     def take(self, agent: str, name: str, run: int, how: How) -> None:
         """Take in how a run of an agent ended."""
