Evacuations of failure domains are read, handed on and kept

Cause: nothing read the operators' records of evacuations. Ruled out: carrying them inside the configuration, whose version is not theirs; asking the store from agents, which would add 11,000 readers. Change: the feed of the operators' topic keeps the evacuated failure domains with the offset up to which it was read; of two accounts the higher is newer. Entries and agents tell each other when a connection opens and when others are evacuated. Entries leave such endpoints out of placing and of capacity, and answer at once when nothing else serves; agents offer nothing, refuse orders on their way, and check again right before a start. Before: no test.

--- a/bench/leased_endpoint.py
+++ b/bench/leased_endpoint.py
@@ -157,7 +157,7 @@
         if self.unhealthy:
             return StartVerdict.UNHEALTHY
         step, work = self.world.works[task]
-        self.world.note_start(self, task)
+        self.world.note_start(self, task, late)
         self.lease_until = max(self.lease_until, min(until, now + LONGEST_LEASE_S))
         self.active[task, run] = FakeRun(step.need, work, moved_at=now)
         self.world.starts += 1
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -41,6 +41,10 @@
 QUEUE = QueueRules("q", "h.example", "/q/", "s", 5000, 60, 0, 3, 1.6)
 ENDPOINT_ROOM = Room(16000, 65536, 0)
 
+EVACUATE_S = 0.05
+"""Seconds after an evacuation is known anywhere until no run begins there: ten round trips, where
+the deployments allow 5 s from its record on."""
+
 
 @dataclass
 class Machine:
@@ -65,6 +69,7 @@
     entry: Entry | None = None
     links: FakeLinks | None = None
     view: FleetView | None = None
+    feed: ConfigFeed | None = None
 
 
 @dataclass
@@ -135,6 +140,7 @@
         self._count = 0
         self._jobs = 0
         self.store = MemoryKeyedLog()
+        self.evacuated_at: dict[str, float] = {}
         self.config = JobConfig(1, (QUEUE,), RequestLimits(), b"1")
         self.machines: dict[str, Machine] = {}
         self.entries: dict[str, EntryNode] = {}
@@ -231,20 +237,40 @@
         metrics = Metrics(Settings())
         feed = self._feed(clock)
         entry = Entry(view, links, feed, metrics, clock)  # type: ignore[arg-type]
-        node.entry, node.links, node.view = entry, links, view
+        node.entry, node.links, node.view, node.feed = entry, links, view, feed
         for machine in self.machines.values():
             # As announced in the store.
-            view.expect(machine.name, "s", machine.endpoint.capacity.cpu, self.time)
+            cpu = machine.endpoint.capacity.cpu
+            view.expect(machine.name, "s", machine.domain, cpu, self.time)
         self.alive.add(me.process)
         self.every(STEP_S, me.process, entry.step)
         self.every(LOSS_CHECK_S, me.process, entry.check_losses)
 
     def _feed(self, clock: Clock) -> ConfigFeed:
-        source = ConfigSource("config", "config", lambda raw: self.config)
+        source = ConfigSource("config", "config", lambda raw: self.config, "evacuate/")
         feed = ConfigFeed(source, self.store, Metrics(Settings()), clock)
         feed.current = self.config
         return feed
 
+    def evacuate(self, domain: str, readers: Iterable[str] = ()) -> None:
+        """Have operators evacuate a failure domain; only ``readers`` see the store's record."""
+        self.evacuated_at[domain] = self.time
+        self.store.put("config", f"evacuate/{domain}", b"{}")
+        self.read_store(readers)
+
+    def take_back(self, domain: str, readers: Iterable[str] = ()) -> None:
+        """Have operators end an evacuation."""
+        self.evacuated_at.pop(domain, None)
+        self.store.put("config", f"evacuate/{domain}", b"")
+        self.read_store(readers)
+
+    def read_store(self, entries: Iterable[str]) -> None:
+        """Let entries read what operators have written."""
+        for name in entries:
+            feed = self.entries[name].feed
+            assert feed is not None
+            feed.follow_once()
+
     def kill(self, process: str) -> None:
         """End a process at once."""
         self.alive.discard(process)
@@ -450,11 +476,14 @@
             ticket.done = _EndNote(self, asked)
         return asked
 
-    def note_start(self, endpoint: FakeEndpoint, task: str) -> None:
-        """Check a start against every run of its task that is at work elsewhere."""
+    def note_start(self, endpoint: FakeEndpoint, task: str, late: bool) -> None:
+        """Check a start against evacuations, and runs of its task that are at work elsewhere."""
         self.started.add(task)
         for machine in self.machines.values():
             other = machine.endpoint
+            since = self.evacuated_at.get(machine.domain, self.time)
+            if other is endpoint and self.time > since + EVACUATE_S and not late:
+                self.breaches.append(Breach("EVAC", self.time, task))
             other.advance()
             if other.up and any(name == task for name, _ in other.active):
                 self.breaches.append(Breach("TWICE", self.time, task))
--- a/src/gentianmux/leased/admitting.py
+++ b/src/gentianmux/leased/admitting.py
@@ -4,7 +4,14 @@
 
 from loguru import logger
 
-from .admission import Admission, Decision, retry_after_s, urgency, wait_s
+from .admission import (
+    LONGEST_RETRY_S,
+    Admission,
+    Decision,
+    retry_after_s,
+    urgency,
+    wait_s,
+)
 from .entry_board import EntryBoard
 from .job_state import JobState, Prospect
 
@@ -74,6 +81,12 @@
             self._board.give_up(job, "its answer would be of no use", retry_after_s(load))
 
     def _refuse_without_agents(self, service: str, jobs: list[JobState], now: float) -> None:
+        if self._board.view.is_evacuated(service, now):
+            # Nothing that could come within a job's time limit would change that.
+            for job in jobs:
+                reason = "every endpoint of its service is evacuated"
+                self._board.give_up(job, reason, LONGEST_RETRY_S)
+            return
         since = self._no_agent_since.setdefault(service, now)
         for job in jobs:
             if now - max(since, job.arrived) > NO_AGENT_S:
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -13,6 +13,7 @@
     ConfigPiece,
     ConfigWanted,
     EndpointState,
+    Evacuated,
     Hello,
     Holding,
     LeasedTask,
@@ -29,6 +30,8 @@
 from .endpoint_looks import EndpointLooks, LookHooks
 from .endpoint_tracker import EndpointTracker, TrackerHooks
 from .entry_reports import EntryReports, Load
+from .evacuation_sharing import EvacuationSharing
+from .evacuations import Evacuations
 from .grants import LATE_RESERVE
 from .health import EndpointHealth
 from .leaving import NO_BOUND_MS, longest_ms
@@ -113,6 +116,7 @@
         self._links = links
         self._feed = feed
         self._handing = ConfigHanding(feed, links, clock)
+        self._sharing = EvacuationSharing(feed.evacuations, links, self._on_evacuations)
         self._metrics = metrics
         self._clock = clock
         self.table = RunTable()
@@ -193,10 +197,16 @@
             if run.phase is Phase.RUNNING and left_s > remaining_s + MOVE_ON_DRAIN_S:
                 self._stop(run.key, How.STOPPED, "the endpoint leaves before it would end")
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether operators evacuate the endpoint's failure domain; what runs goes on."""
+        report = self.report
+        return report is not None and self._feed.evacuations.covers(report.failure_domain)
+
     @property
     def is_accepting(self) -> bool:
         """Whether new runs may begin here."""
-        ready = self.report is not None and not self.report.draining
+        ready = self.report is not None and not self.report.draining and not self.is_evacuated
         return ready and self.looks.answering and self.table.is_clean and self.longest_ms() > 0
 
     def longest_ms(self) -> int:
@@ -352,6 +362,9 @@
             # the room may be less, and the run at work elsewhere.
             self._end_unstarted(key, How.NOT_STARTED)
             return
+        if self.is_evacuated:
+            self._end_unstarted(key, How.DRAINING)
+            return
         payload = task.payload.decode("utf-8", "replace")
         verdict = self._driver.start(task.name, task.run, payload, self._lease_s, now)
         now = self._clock.now()
@@ -407,6 +420,14 @@
         self._reports.claimed(entry, msg.claims, msg.gives_back)
         self._handing.heard_of(entry, msg.config_version)
 
+    @on_message.register
+    def _(self, msg: Evacuated, entry: str) -> None:
+        self._sharing.take(msg, entry)
+
+    def _on_evacuations(self, _evacuations: Evacuations) -> None:
+        self._tell_state()
+        self._reports.load_soon()
+
     @on_message.register
     def _(self, msg: ConfigWanted, entry: str) -> None:
         self._handing.wanted(msg, entry)
@@ -486,6 +507,7 @@
         entry = hello.process
         held = [RunRef(*run.key) for run in self.table.of_entry(entry)]
         held += [RunRef(*key) for key in sorted(self._replacing)]
+        self._sharing.greet(entry)
         self._links.send(entry, self._state())
         self._links.send(entry, Holding(self._reports.applied.get(entry, 0), held))
         self._reports.flush_ended(entry)
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: read from the store, handed on by peers, never going back."""
+"""What operators say: read from the store, handed on by peers, never going back."""
 
 from collections.abc import Callable
 
@@ -10,6 +10,7 @@
 from ..errors import GentianmuxError, LogError
 from ..memory_log import KeyedLog
 from ..metrics import Metrics
+from .evacuations import EvacuationFeed
 from .model import JobConfig
 
 WATCH_S = 1.5
@@ -24,16 +25,34 @@
 
 
 class ConfigSource:
-    """Where the configuration lies in the store, and how it is read."""
+    """Where operators' words lie in the store, and how they are read.
 
-    def __init__(self, topic: str, key: str, decode: Decode) -> None:
+    Parameters
+    ----------
+    topic : str
+        The operators' topic.
+    key : str
+        Key of the configuration.
+    decode : callable
+        Decodes it.
+    evacuation_prefix : str
+        How the keys of evacuations begin; the rest names a failure domain.
+    """
+
+    def __init__(self, topic: str, key: str, decode: Decode, evacuation_prefix: str) -> None:
         self.topic = topic
         self.key = key
         self.decode = decode
+        self.evacuation_prefix = evacuation_prefix
+
+    def evacuated_domain(self, key: str) -> str:
+        """The failure domain that a record evacuates; empty for any other record."""
+        prefix = self.evacuation_prefix
+        return key.removeprefix(prefix) if key.startswith(prefix) else ""
 
 
 class ConfigFeed:
-    """Keeps the newest configuration that this process has seen.
+    """Keeps the newest configuration that this process has seen, and the evacuations beside it.
 
     Parameters
     ----------
@@ -46,6 +65,11 @@
     clock : Clock
         Time.
 
+    Attributes
+    ----------
+    evacuations : EvacuationFeed
+        Which failure domains are evacuated.
+
     Examples
     --------
     ``feed.offered(raw, "entry e1")`` takes a version in when it is newer than the present one.
@@ -56,6 +80,7 @@
     ) -> None:
         self.current: JobConfig | None = None
         self.on_change: Callable[[JobConfig], None] = lambda config: None
+        self.evacuations = EvacuationFeed(metrics)
         self._has_one = Event()
         self._source = source
         self._store = store
@@ -109,12 +134,21 @@
 
     def _read_newest(self) -> int:
         newest = self._store.newest(self._source.topic)
+        # Before the configuration: a process that has one may begin to place runs.
+        listed = filter(None, map(self._source.evacuated_domain, newest.values))
+        self.evacuations.read_all(listed, newest.end)
         if self._source.key in newest.values:
             self.offered(newest.values[self._source.key], "store")
         return newest.end
 
     def _follow(self, offset: int) -> int:
         changes = self._store.changes(self._source.topic, offset, WATCH_S)
+        evacuations = [
+            (domain, bool(value))
+            for key, value in changes.values
+            if (domain := self._source.evacuated_domain(key))
+        ]
+        self.evacuations.read_changes(evacuations, changes.end)
         for key, value in changes.values:
             if key == self._source.key and value:
                 self.offered(value, "store")
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -12,6 +12,7 @@
     ConfigWanted,
     EndedRuns,
     EndpointState,
+    Evacuated,
     Hello,
     Holding,
     Message,
@@ -23,6 +24,8 @@
 from .config_feed import ConfigFeed
 from .config_handing import ConfigHanding
 from .entry_board import EntryBoard
+from .evacuation_sharing import EvacuationSharing
+from .evacuations import Evacuations
 from .fleet_view import FleetView
 from .job_state import JobState, Outcome, longest_chain_s
 from .leaving import ends_in_time
@@ -74,6 +77,7 @@
     ) -> None:
         self._board = EntryBoard(view, links, feed, metrics, clock)
         self._handing = ConfigHanding(feed, links, clock)
+        self._sharing = EvacuationSharing(feed.evacuations, links, self._on_evacuations)
         self._ends = RunEnds(self._board)
         self._admitting = Admitting(self._board)
         self._placing = Placing(self._board, self._ends, self._admitting.admissions)
@@ -186,9 +190,19 @@
     def _(self, msg: ConfigPiece, agent: str) -> None:
         self._handing.take(msg, agent)
 
+    @on_message.register
+    def _(self, msg: Evacuated, agent: str) -> None:
+        self._sharing.take(msg, agent)
+
+    def _on_evacuations(self, evacuations: Evacuations) -> None:
+        self._board.view.evacuated = evacuations.failure_domains
+        self._placing.soon()
+
     # Losses
 
     def _on_open(self, hello: Hello) -> None:
+        # Before anything is assigned there: the agent may have just started.
+        self._sharing.greet(hello.process)
         self._ends.opened_at[hello.process] = self._board.clock.now()
         # The connection may have taken the place of a silent one, and the chain be nearly over.
         self._board.view.of(hello.process).echoed_at = 0.0
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -79,6 +79,7 @@
     """An announced agent that has not been heard of yet."""
 
     service: str
+    failure_domain: str
     cpu: int
     until: float
 
@@ -108,10 +109,16 @@
         The lease that agents ask of endpoints, in seconds.
     rng : Random
         Breaks ties, so that entries do not all choose the same agent.
+
+    Attributes
+    ----------
+    evacuated : tuple of str
+        Failure domains whose agents get nothing new and count as no capacity.
     """
 
     def __init__(self, lease_s: float, rng: Random) -> None:
         self.agents: dict[str, AgentView] = {}
+        self.evacuated: tuple[str, ...] = ()
         self._order: list[AgentView] = []
         self._expected: dict[str, Expected] = {}
         self._lease_s = lease_s
@@ -152,19 +159,30 @@
             and agent.is_fresh(now)
             and agent.state.accepting
             and agent.state.service == service
+            and agent.state.failure_domain not in self.evacuated
         ]
 
+    def is_evacuated(self, service: str, now: float) -> bool:
+        """Whether endpoints of a service live that only an evacuation keeps from running tasks."""
+        return any(
+            agent.state is not None
+            and agent.is_fresh(now)
+            and agent.state.service == service
+            and agent.state.failure_domain in self.evacuated
+            for agent in self._order
+        )
+
     def willing(self, service: str, now: float) -> list[AgentView]:
         """Agents that serve a service and have not just refused a run."""
         return [agent for agent in self.serving(service, now) if now >= agent.failed_until]
 
-    def expect(self, node: str, service: str, cpu: int, now: float) -> None:
+    def expect(self, node: str, service: str, failure_domain: str, cpu: int, now: float) -> None:
         """Count an announced agent as capacity for a while, unless it is heard of first.
 
         Judged by the few agents that have connected in the first second after everything
         restarts, jobs were refused that the others had room for: 65 of them on one day.
         """
-        self._expected[node] = Expected(service, cpu, now + EXPECTED_S)
+        self._expected[node] = Expected(service, failure_domain, cpu, now + EXPECTED_S)
 
     def capacity_cpu(self, service: str, now: float) -> float:
         """Cores of all endpoints that serve a service, extrapolated when there are many."""
@@ -183,7 +201,12 @@
             for node, each in self._expected.items()
             if now < each.until and node not in heard
         }
-        return sum(e.cpu for e in self._expected.values() if e.service == service) / 1000
+        counted = (
+            each.cpu
+            for each in self._expected.values()
+            if each.service == service and each.failure_domain not in self.evacuated
+        )
+        return sum(counted) / 1000
 
     def entries(self, now: float) -> int:
         """How many entries share the agents, this one included."""
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -189,8 +189,9 @@
     def take(found: Announcement) -> None:
         preferred = neighbours.learn(found)
         if preferred and found.report is not None:
-            cpu = found.report.capacity.cpu
-            view.expect(found.name, found.report.service, cpu, base.clock.now())
+            report = found.report
+            cpu, domain = report.capacity.cpu, report.failure_domain
+            view.expect(found.name, report.service, domain, cpu, base.clock.now())
 
     directory.on_found = take
     base.links.start()
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -467,6 +467,17 @@
         return f"{self.endpoint}@{self.born}" if self.born else self.endpoint
 
 
+class Evacuated(NamedTuple):
+    """The failure domains that operators evacuate; the account with the higher position is newer.
+
+    Sent when a connection opens and when others are evacuated, by entries and agents alike, so that
+    it also reaches those that the store turns away.
+    """
+
+    position: int
+    failure_domains: list[str]
+
+
 class ConfigWanted(NamedTuple):
     """Asks a peer for a piece of its configuration, from ``offset`` of what is packed."""
 
@@ -517,6 +528,7 @@
     | AgentLoad
     | LoadEcho
     | EndpointState
+    | Evacuated
     | ConfigWanted
     | ConfigPiece
 )
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -73,6 +73,9 @@
     ),
     "links_refused": Metric("counter", "links", "Connections without a usable hello, by error."),
     "config_version": Metric("gauge", "version", "Version of the configuration in force."),
+    "failure_domains_evacuated": Metric(
+        "gauge", "failure domains", "Failure domains that operators evacuate."
+    ),
     "configs_unreadable": Metric("counter", "configs", "Configurations that cannot be read."),
     "store_errors": Metric("counter", "calls", "Calls of the platform's store that failed."),
     "logs_dropped": Metric("counter", "lines", "Log lines dropped since nobody took them."),
--- a/src/gentianmux/platform/config.py
+++ b/src/gentianmux/platform/config.py
@@ -55,5 +55,8 @@
     )
 
 
-CONFIG_SOURCE = ConfigSource("op", "config", decode_config)
-"""Where the platform keeps the configuration: a key of the operators' topic."""
+EVACUATION_PREFIX = "evacuate/"
+"""How the keys begin by which operators evacuate what the platform calls a zone."""
+
+CONFIG_SOURCE = ConfigSource("op", "config", decode_config, EVACUATION_PREFIX)
+"""Where the platform keeps the configuration and evacuations: keys of the operators' topic."""
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -333,6 +333,11 @@
   offset @1 :Int64;
 }
 
+struct Evacuated {
+  position @0 :Int64;
+  failureDomains @1 :List(Text);
+}
+
 struct ConfigPiece {
   version @0 :Int64;
   offset @1 :Int64;
@@ -377,5 +382,6 @@
     endpointState @32 :EndpointState;
     configWanted @33 :ConfigWanted;
     configPiece @34 :ConfigPiece;
+    evacuated @35 :Evacuated;
   }
 }
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,194 @@
+"""Evacuations of failure domains: nothing new begins there, wherever the word has to come from.
+
+Nobody read the operators' records: on a day on which one of three failure domains was evacuated,
+1,148 tasks were begun in it after the bound, at a worth of the day that said nothing of it.
+"""
+
+import pytest
+
+from bench.leased_world import World
+from gentianmux.leased.evacuations import EvacuationFeed, Evacuations
+from gentianmux.leased.job_state import Outcome
+from gentianmux.leased.model import How
+from gentianmux.messages import EndedRuns, Evacuated
+from gentianmux.metrics import Metrics
+from gentianmux.settings import Settings
+
+
+def ready_world(agents: int = 6, entries: int = 2) -> World:
+    world = World(agents, entries)
+    world.run(0.5)
+    world.read_store(world.entries)
+    world.run(0.5)
+    return world
+
+
+def begun_in(world: World, domain: str) -> int:
+    """Runs that are at work at the endpoints of a failure domain."""
+    machines = (each for each in world.machines.values() if each.domain == domain)
+    return sum(len(machine.endpoint.active) for machine in machines)
+
+
+def keep_submitting(world: World, seconds: float, entries: tuple[str, ...]) -> None:
+    for _ in range(int(seconds / 0.05)):
+        for name in entries:
+            world.submit(name, tasks=3, run_s=0.2)
+        world.run(0.05)
+
+
+def test_nothing_begins_in_an_evacuated_domain_and_what_runs_goes_on() -> None:
+    world = ready_world()
+    early = [world.submit("e0", tasks=6, run_s=1.5) for _ in range(4)]
+    world.run(0.1)
+    before = begun_in(world, "fd1")
+    world.evacuate("fd1", readers=["e0", "e1"])
+    keep_submitting(world, 0.5, ("e0", "e1"))
+    assert begun_in(world, "fd1") == before > 0
+    world.run(3.0)
+    assert world.breaches == []
+    assert {job.ticket.verdict.outcome for job in world.asked} == {Outcome.COMPLETED}
+    assert world.wasted_runs == 0 and len(early) == 4
+
+
+def test_two_domains_in_turn_are_used_again_when_they_are_taken_back() -> None:
+    world = ready_world()
+    for domain in ("fd0", "fd1"):
+        world.evacuate(domain, readers=["e0", "e1"])
+        keep_submitting(world, 1.0, ("e0", "e1"))
+        assert begun_in(world, domain) == 0
+        world.take_back(domain, readers=["e0", "e1"])
+        keep_submitting(world, 0.1, ("e0", "e1"))
+        assert begun_in(world, domain) > 0
+    assert world.breaches == []
+
+
+def test_an_entry_that_the_store_turns_away_hears_of_an_evacuation_from_agents() -> None:
+    world = ready_world()
+    world.evacuate("fd2", readers=["e0"])
+    world.run(0.02)
+    keep_submitting(world, 0.6, ("e1",))
+    assert world.breaches == []
+    assert begun_in(world, "fd2") == 0
+    world.take_back("fd2", readers=["e0"])
+    world.run(0.02)
+    keep_submitting(world, 0.1, ("e1",))
+    assert begun_in(world, "fd2") > 0
+
+
+def test_processes_that_start_during_an_evacuation_begin_nothing_there() -> None:
+    world = ready_world()
+    world.evacuate("fd1", readers=["e0", "e1"])
+    world.run(0.1)
+    for machine in [each for each in world.machines.values() if each.domain == "fd1"]:
+        world.kill(world.process_of(machine.name))
+        world.start_agent(machine.name)
+    world.kill(world.process_of("e1"))
+    world.start_entry("e1")
+    world.run(0.3)
+    for machine in world.machines.values():
+        assert machine.agent is not None
+        assert machine.agent.is_accepting == (machine.domain != "fd1")
+    # The new process of the entry has not read the store, only heard of agents.
+    feed_of_new = world.entries["e1"].feed
+    assert feed_of_new is not None and feed_of_new.evacuations.covers("fd1")
+    keep_submitting(world, 1.0, ("e0", "e1"))
+    assert world.breaches == []
+    assert begun_in(world, "fd1") == 0
+
+
+def test_an_order_on_its_way_comes_back_at_once_and_goes_elsewhere() -> None:
+    world = ready_world()
+    machine = next(each for each in world.machines.values() if each.domain == "fd1")
+    assert machine.agent is not None and machine.links is not None
+    sent: list[object] = []
+    carry = machine.links.send
+    machine.links.send = lambda peer, msg: (sent.append(msg), carry(peer, msg))[1]  # type: ignore[method-assign]
+    jobs = [world.submit("e0", tasks=6, run_s=0.2) for _ in range(3)]
+    # The agents hear of it while the orders are on their way to them.
+    world.store.put("config", "evacuate/fd1", b"{}")
+    for each in world.machines.values():
+        assert each.agent is not None
+        each.agent.on_message(Evacuated(9, ["fd1"]), world.process_of("e1"))
+    world.run(1.0)
+    rows = [row for msg in sent if isinstance(msg, EndedRuns) for row in msg.runs]
+    assert rows and {How(row.how) for row in rows} == {How.DRAINING}
+    assert begun_in(world, "fd1") == 0
+    assert {job.ticket.verdict.outcome for job in jobs} == {Outcome.COMPLETED}
+
+
+def test_a_run_taken_on_right_before_the_evacuation_is_not_started() -> None:
+    world = ready_world(agents=1, entries=1)
+    world.submit("e0", tasks=2, run_s=0.2)
+    world.run(0.0006)
+    agent = world.machines["w0"].agent
+    assert agent is not None and len(agent.table.runs) == 2
+    agent.on_message(Evacuated(9, ["fd0"]), world.process_of("e0"))
+    world.run(0.5)
+    assert world.starts == 0
+    assert agent.table.runs == {}
+
+
+def test_with_every_domain_evacuated_callers_get_a_true_answer_at_once() -> None:
+    world = ready_world()
+    for domain in ("fd0", "fd1", "fd2"):
+        world.evacuate(domain, readers=["e0", "e1"])
+    world.run(0.05)
+    job = world.submit("e0", tasks=2)
+    world.run(0.05)
+    verdict = job.ticket.verdict
+    assert verdict is not None
+    assert verdict.outcome is Outcome.NOT_RUN
+    assert verdict.retry_after_s > 1
+    assert world.false_refusals() == []
+
+
+def test_announced_endpoints_of_an_evacuated_domain_count_as_no_capacity() -> None:
+    world = ready_world()
+    world.evacuate("fd1", readers=["e0"])
+    view = world.entries["e0"].view
+    assert view is not None
+    expected = view.capacity_cpu("s", world.time)
+    view.expect("w100", "s", "fd1", 16000, world.time)
+    assert view.capacity_cpu("s", world.time) == expected
+    view.expect("w101", "s", "fd2", 16000, world.time)
+    assert view.capacity_cpu("s", world.time) == expected + 16.0
+
+
+def test_an_entry_places_nothing_there_before_agents_have_heard_of_it() -> None:
+    world = ready_world(entries=1)
+    view = world.entries["e0"].view
+    assert view is not None
+    world.evacuate("fd1", readers=["e0"])
+    willing = {agent.state.failure_domain for agent in view.willing("s", world.time) if agent.state}
+    assert willing == {"fd0", "fd2"}
+
+
+def feed() -> EvacuationFeed:
+    return EvacuationFeed(Metrics(Settings()))
+
+
+@pytest.mark.parametrize("position", [3, 7])
+def test_an_account_that_is_no_newer_changes_nothing(position: int) -> None:
+    known = feed()
+    known.offered(Evacuations(7, ("fd1",)), "peer")
+    known.offered(Evacuations(position, ()), "peer")
+    assert known.current == Evacuations(7, ("fd1",))
+
+
+def test_a_store_that_lags_behind_a_peer_does_not_bring_an_evacuation_back() -> None:
+    known = feed()
+    known.read_all(["fd1"], 4)
+    known.offered(Evacuations(6, ("fd2",)), "peer")
+    known.read_changes([], 5)
+    assert known.current.failure_domains == ("fd2",)
+    known.read_changes([("fd1", False), ("fd2", True)], 7)
+    assert known.current == Evacuations(7, ("fd2",))
+
+
+def test_a_lost_history_ends_no_evacuation_and_a_deleted_record_does() -> None:
+    known = feed()
+    known.read_all(["fd1"], 4)
+    known.read_all(["fd1"], 90)
+    assert known.covers("fd1")
+    known.read_all([], 91)
+    assert not known.covers("fd1")
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -67,7 +67,7 @@
 
 def test_a_request_waits_a_moment_for_the_first_configuration():
     config = JobConfig(1, (), RequestLimits(), b"1")
-    source = ConfigSource("config", "config", lambda raw: config)
+    source = ConfigSource("config", "config", lambda raw: config, "evacuate/")
     feed = ConfigFeed(source, MemoryKeyedLog(), Metrics(Settings()), None)  # type: ignore[arg-type]
     assert feed.first(0.01) is None
     waiting = gevent.spawn(feed.first, 5.0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -201,3 +201,22 @@
         assert b"200" not in sock.recv(100)
     assert starts(deployment) == []
     assert deployment.submit("0000000000000152", job_body()) == (200, COMPLETED)
+
+
+def test_an_evacuated_zone_gets_nothing_until_it_is_taken_back(deployment: Deployment) -> None:
+    deployment.store.put("keyed.op", "evacuate/z1", b"{}")
+    gevent.sleep(0.3)
+    before = starts(deployment)
+    status, body = deployment.submit("0000000000000161", job_body())
+    assert status == 503
+    assert b"evacuated" in body
+    # A process that starts meanwhile has no other account than the store's.
+    deployment.processes["side-0"].kill()
+    deployment.processes["side-0"].wait()
+    deployment.start("side-0", "agent")
+    gevent.sleep(2.0)
+    assert deployment.submit("0000000000000162", job_body())[0] == 503
+    assert starts(deployment) == before
+    deployment.store.put("keyed.op", "evacuate/z1", b"")
+    gevent.sleep(0.3)
+    assert deployment.submit("0000000000000163", job_body()) == (200, COMPLETED)
