Tests of evacuations that notice each place on its own

Cause: three places whose removal no test noticed, as another one covered for them (agent's own account, both greetings).

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -75,19 +75,29 @@
     assert begun_in(world, "fd2") > 0
 
 
-def test_processes_that_start_during_an_evacuation_begin_nothing_there() -> None:
+def test_agents_that_start_during_an_evacuation_begin_nothing_there() -> None:
     world = ready_world()
     world.evacuate("fd1", readers=["e0", "e1"])
     world.run(0.1)
     for machine in [each for each in world.machines.values() if each.domain == "fd1"]:
         world.kill(world.process_of(machine.name))
         world.start_agent(machine.name)
-    world.kill(world.process_of("e1"))
-    world.start_entry("e1")
-    world.run(0.3)
+    world.run(0.8)
     for machine in world.machines.values():
         assert machine.agent is not None
         assert machine.agent.is_accepting == (machine.domain != "fd1")
+    keep_submitting(world, 1.0, ("e0", "e1"))
+    assert world.breaches == []
+    assert begun_in(world, "fd1") == 0
+
+
+def test_an_entry_that_starts_during_an_evacuation_hears_of_it_from_agents() -> None:
+    world = ready_world()
+    world.evacuate("fd1", readers=["e0", "e1"])
+    world.run(0.1)
+    world.kill(world.process_of("e1"))
+    world.start_entry("e1")
+    world.run(0.3)
     # The new process of the entry has not read the store, only heard of agents.
     feed_of_new = world.entries["e1"].feed
     assert feed_of_new is not None and feed_of_new.evacuations.covers("fd1")
