A caller's connection is watched by the event loop itself, up to the moment it is answered

Cause: the greenlet that watched a caller was told to end when the job had its verdict, and ended a turn of the loop later; by then the answer was sent and the connection closed, and the loop was given a closed descriptor to watch: libev ends the process (status 134), as an entry was seen to do. Ruled out: the store's client and the connections between processes (their sockets end their own watches). Change: a watcher of the loop that is stopped before the answer is sent. It also saves a greenlet a request.

--- a/src/gentianmux/leased/caller_watch.py
+++ b/src/gentianmux/leased/caller_watch.py
@@ -14,6 +14,9 @@
 """Seconds beyond its deadline in which a job's verdict must have come; the entry checks deadlines
 every 20 ms, so this only guards against a fault of ours."""
 
+READABLE = 1
+"""What the event loop is asked to watch for: bytes, or the end of the connection."""
+
 
 def wait_for_verdict(entry: Entry, ticket: Ticket, sock: Any) -> Verdict:
     """Wait for a job's verdict; the job is stopped when its last caller leaves.
@@ -28,28 +31,63 @@
         The caller's connection.
     """
     ticket.waiters += 1
-    watcher = gevent.spawn(_watch, entry, ticket, sock) if sock is not None else None
+    watch = None if sock is None else CallerWatch(entry, ticket, sock)
     left_s = ticket.job.deadline - entry.now() + LAST_WORD_S
     try:
         ticket.done.wait(max(LAST_WORD_S, left_s))
     finally:
         ticket.waiters -= 1
-        if watcher is not None:
-            watcher.kill(block=False)
+        if watch is not None:
+            watch.stop()
     if ticket.verdict is None:
         logger.bind(job=ticket.job.spec.job_id).error("no verdict in time")
         entry.abandon(ticket, "no verdict in time")
     return ticket.verdict or Verdict(Outcome.UNKNOWN, "no verdict in time")
 
 
-def _watch(entry: Entry, ticket: Ticket, sock: Any) -> None:
-    """Stop the job when the caller closes; bytes that wait are its next request."""
-    try:
-        gevent.socket.wait_read(sock.fileno())
-        gone = not sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return
-    except OSError:
-        gone = True
-    if gone and ticket.waiters <= 1:
-        entry.abandon(ticket, "the caller left")
+class CallerWatch:
+    """Stops a job when its caller closes the connection.
+
+    The event loop itself watches, so that ``stop`` has taken effect when it returns. Ended a turn
+    later, the loop was still to watch connections that had been closed with their answers, and
+    ended the process: at once with 100 callers whose jobs were refused.
+
+    Parameters
+    ----------
+    entry : Entry
+        Coordinates the job.
+    ticket : Ticket
+        The job.
+    sock : socket
+        The caller's connection.
+
+    Examples
+    --------
+    ``watch = CallerWatch(entry, ticket, sock)``, and ``watch.stop()`` before the answer is sent.
+    """
+
+    def __init__(self, entry: Entry, ticket: Ticket, sock: Any) -> None:
+        self._entry = entry
+        self._ticket = ticket
+        self._sock = sock
+        self._watcher = gevent.get_hub().loop.io(sock.fileno(), READABLE)
+        self._watcher.start(self._on_readable)
+
+    def stop(self) -> None:
+        """Watch no longer, from this moment on."""
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _on_readable(self) -> None:
+        """Stop the job when the caller has closed; bytes that wait are its next request."""
+        self._watcher.stop()
+        if self._is_gone() and self._ticket.waiters <= 1:
+            self._entry.abandon(self._ticket, "the caller left")
+
+    def _is_gone(self) -> bool:
+        try:
+            return not self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
