--- a/tests/test_caller_watch.py
+++ b/tests/test_caller_watch.py
@@ -3,7 +3,8 @@
 An entry ended itself with status 134: the event loop found a descriptor among those to be watched
 that had been closed. A job's caller was watched by a greenlet, which was told to end when the job
 had its verdict, but only ended a turn of the loop later; by then the answer was sent and the
-connection closed. Two thousand jobs refused a turn after they came, on connections that close, bring it about.
+connection closed. Two thousand jobs refused a turn after they came bring it about, on connections
+that close.
 """
 
 import subprocess
