Four tasks of a job go to one endpoint before the next is chosen, and its payload once

Hypothesis: each task on the emptiest endpoint makes a job hang on as many endpoints as it has tasks, and sends its payload as often. Change: Candidates.take_again; payloads stand once in an assignment.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -280,7 +280,8 @@
         fresh = self._chain.holds(entry, now)
         refused = False
         for task in msg.tasks:
-            how = self._begin(task, entry) if fresh else How.NOT_STARTED
+            payload = msg.payloads[task.payload].decode("utf-8", "replace")
+            how = self._begin(task, payload, entry) if fresh else How.NOT_STARTED
             if how is not None:
                 refused = True
                 self._metrics.count("runs_refused", label=how.name.lower())
@@ -297,7 +298,7 @@
         self._reports.flush_ended(entry)
         self._reports.answered(entry, refused, msg.claims)
 
-    def _begin(self, task: LeasedTask, entry: str) -> How | None:
+    def _begin(self, task: LeasedTask, payload: str, entry: str) -> How | None:
         """Begin a run; how it was refused, or None when it was not."""
         key = (task.name, task.run)
         if self._withdrawn.holds(entry, key):
@@ -312,7 +313,8 @@
                 self._stop(run.key, How.STOPPED, "replaced by a newer run")
             self._stop_due()
             until = self._clock.now() + REPLACE_S
-            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, task, entry, until)
+            args = (task, payload, entry, until)
+            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, *args)
             self._replacing.add(key)
             return None
         now = self._clock.now()
@@ -331,26 +333,27 @@
             free_cpu=self.table.room.free.cpu,
             runs=len(self.table.runs),
         ).info("run begun")
-        self._clock.soon(self._start, task)
+        self._clock.soon(self._start, task, payload)
         return None
 
-    def _begin_when_gone(self, task: LeasedTask, entry: str, until: float) -> None:
+    def _begin_when_gone(self, task: LeasedTask, payload: str, entry: str, until: float) -> None:
         """Begin a run once every earlier run of its task is gone, unless it was withdrawn."""
         if (task.name, task.run) not in self._replacing:
             return
         now = self._clock.now()
         gone = not self.table.runs_of_task(task.name)
         if not gone and now < until:
-            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, task, entry, until)
+            args = (task, payload, entry, until)
+            self._clock.later(REPLACE_CHECK_S, self._begin_when_gone, *args)
             return
         self._replacing.discard((task.name, task.run))
         fresh = self._chain.holds(entry, now)
-        how = self._begin(task, entry) if gone and fresh else How.NOT_STARTED
+        how = self._begin(task, payload, entry) if gone and fresh else How.NOT_STARTED
         if how is not None:
             self._reports.ended(entry, task.name, task.run, how, 0)
             self._reports.flush_ended(entry)
 
-    def _start(self, task: LeasedTask) -> None:
+    def _start(self, task: LeasedTask, payload: str) -> None:
         key = (task.name, task.run)
         now = self._clock.now()
         if key not in self.table.runs:
@@ -364,7 +367,6 @@
         if self.is_evacuated:
             self._end_unstarted(key, How.DRAINING)
             return
-        payload = task.payload.decode("utf-8", "replace")
         verdict = self._driver.start(task.name, task.run, payload, self._lease_s, now)
         now = self._clock.now()
         if verdict is StartVerdict.STARTED:
--- a/src/gentianmux/leased/candidates.py
+++ b/src/gentianmux/leased/candidates.py
@@ -58,6 +58,13 @@
         """Whether any agent has room for a task, whatever else it asks."""
         return any(agent.free.fits(need) for agent in self._agents)
 
+    def take_again(self, wish: "Wish") -> "AgentView | None":
+        """The agent that was taken last, if it has room for a task of the same job."""
+        if self._taken is None or wish.is_picky:
+            return None
+        agent = self._agents[self._taken]
+        return agent if _has_room(agent, wish) else None
+
     def take(self, wish: "Wish") -> "AgentView | None":
         """The best agent for a task; None when none has room for it."""
         self._put_back_taken()
@@ -69,7 +76,7 @@
         while self._heap and found is None:
             entry = heappop(self._heap)
             agent = self._agents[entry[-1]]
-            if agent.free.fits(wish.need) and wish.estimate_ms <= agent.longest_ms:
+            if _has_room(agent, wish):
                 found = agent
                 self._taken = entry[-1]
             else:
@@ -87,3 +94,7 @@
             heapify(self._heap)
             self._taken = number
         return agent
+
+
+def _has_room(agent: "AgentView", wish: "Wish") -> bool:
+    return agent.free.fits(wish.need) and wish.estimate_ms <= agent.longest_ms
--- a/src/gentianmux/leased/placing.py
+++ b/src/gentianmux/leased/placing.py
@@ -19,6 +19,14 @@
 """Seconds between tellings of all agents that runs wait: four of the shortest waits for room."""
 
 
+TOGETHER = 4
+"""Tasks of one job that go to one endpoint before the next is chosen. Each on the emptiest, as with
+1, a job hung on many of them: with a sixth of 12 endpoints standing still 95.5 % of jobs were in
+time, with 4 97.3 %; with as many agents killed 97.6 and 98.9 %. Frames fell by 27 %, and under 0.8,
+1.4 and 1.9 times the usual load credit was the same within its spread (5 and 6 seeds of the load
+model). All together gained no more, and is a longer queue at one agent."""
+
+
 class Placing:
     """Places the backlog of an entry.
 
@@ -125,9 +133,12 @@
         chosen: Counter[str],
         now: float,
     ) -> bool:
-        payload = job.spec.payload.encode()
+        together = 0
         for task in job.ready():
-            agent = candidates.take(self._wish(job, task, now))
+            wish = self._wish(job, task, now)
+            agent = candidates.take_again(wish) if 0 < together < TOGETHER else None
+            together = together + 1 if agent is not None else 1
+            agent = agent or candidates.take(wish)
             if agent is None or agent.state is None:
                 return False
             run = job.assign(task, agent.process, agent.state.life, now)
@@ -136,7 +147,7 @@
             agent.reserve(number, step.need)
             self._board.out[agent.process][(task.name, run)] = job
             shares[agent.process].append(
-                LeasedTask(task.name, run, payload, *step.need, step.estimate_ms)
+                LeasedTask(task.name, run, 0, *step.need, step.estimate_ms)
             )
             chosen[agent.process] += 1
         return True
@@ -167,12 +178,29 @@
         agent.told = signature(claims)
         # An assignment echoes as well, but a report that may be old: the next one is not left out.
         agent.echoed_at = max(agent.echoed_at, agent.heard_at)
-        msg = Assign(agent.newest_load, agent.assigned, tasks, claims)
+        tasks, payloads = self._with_payloads(process, tasks)
+        msg = Assign(agent.newest_load, agent.assigned, tasks, claims, payloads)
         sent = self._board.links.send(process, msg)
         if not sent:
             for task in tasks:
                 self._ends.take(process, task.name, task.run, How.NOT_STARTED)
 
+    def _with_payloads(
+        self, process: str, tasks: list[LeasedTask]
+    ) -> tuple[list[LeasedTask], list[bytes]]:
+        """The tasks with the numbers of their payloads, and each job's payload once."""
+        out = self._board.out[process]
+        numbers: dict[str, int] = {}
+        numbered = []
+        payloads: list[bytes] = []
+        for task in tasks:
+            spec = out[task.name, task.run].spec
+            if spec.job_id not in numbers:
+                numbers[spec.job_id] = len(payloads)
+                payloads.append(spec.payload.encode())
+            numbered.append(task._replace(payload=numbers[spec.job_id]))
+        return numbered, payloads
+
     def _tell_claims(self, now: float) -> None:
         """Claim room of all agents when runs of another urgency begin to wait."""
         if not self._board.backlog or now - self._claims_told_at < CLAIM_AGAIN_S:
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -329,11 +329,14 @@
 
 
 class LeasedTask(NamedTuple):
-    """One run of a task for an agent to start; resources as in ``leased.room.Room``."""
+    """One run of a task for an agent to start; resources as in ``leased.room.Room``.
+
+    ``payload`` is the number of its payload among those of its assignment.
+    """
 
     name: str
     run: int
-    payload: bytes
+    payload: int
     cpu: int
     mem_mb: int
     gpu: int
@@ -363,13 +366,14 @@
 
     ``echo`` is the newest load report that the entry has seen of the agent; ``number`` counts
     the entry's assignments to it, and comes back as ``AgentLoad.applied``. ``claims`` is what
-    still waits.
+    still waits. ``payloads`` holds each job's payload once, of up to 4,000 bytes.
     """
 
     echo: int
     number: int
     tasks: list[LeasedTask]
     claims: list[Claim]
+    payloads: list[bytes]
 
 
 class RunRef(NamedTuple):
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -242,7 +242,7 @@
 struct LeasedTask {
   name @0 :Text;
   run @1 :Int64;
-  payload @2 :Data;
+  payload @2 :UInt32;
   cpu @3 :Int64;
   memMb @4 :Int64;
   gpu @5 :Int64;
@@ -254,6 +254,7 @@
   number @1 :Int64;
   tasks @2 :List(LeasedTask);
   claims @3 :List(Claim);
+  payloads @4 :List(Data);
 }
 
 struct RunRef {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -27,8 +27,9 @@
     m.Assign(
         7,
         8,
-        [m.LeasedTask("a.0.0.1", 2, "päyload".encode(), 1600, 64, 0, 120)],
+        [m.LeasedTask("a.0.0.1", 2, 1, 1600, 64, 0, 120)],
         [m.Claim(3200, 128, 0, 1600, False, True, 2, -40)],
+        [b"", "päyload".encode()],
     ),
     m.Withdraw([m.RunRef("a.0.0.1", 2)]),
     m.EndedRuns([m.EndedRun(1, "a.0.0.1", 2, 10, 130)]),
--- /dev/null
+++ b/tests/test_together.py
@@ -0,0 +1,87 @@
+"""Tasks of one job go to few endpoints: a job hangs on fewer, and costs fewer frames and bytes.
+
+Every task went to the emptiest endpoint, so a job of eight hung on eight of them, and each was sent
+the whole payload. Measured on virtual time, 12 endpoints, 3 entries, 6 seeds: with a sixth of the
+endpoints standing still for 2 s 95.5 % of jobs were in time, with four tasks together 97.3 %; with
+as many agents killed 97.6 and 98.9 %; frames 6,871 and 5,055 where nothing fails.
+"""
+
+from random import Random
+from typing import NamedTuple
+
+import pytest
+
+from bench.leased_world import World
+from gentianmux.leased import placing
+from gentianmux.leased.job_state import Outcome
+from gentianmux.messages import Assign, Message
+
+SEEDS = (1, 2, 3)
+STEPS, STEP_S = 80, 0.05
+FAULTY_STEPS = range(20, 60)
+
+
+class Played(NamedTuple):
+    """What callers got, and what it cost."""
+
+    in_time: float
+    frames: int
+
+
+def play(fault: str, seed: int) -> Played:
+    """A usual load on 12 endpoints, a sixth of which is at fault for a while."""
+    world = World(12, 3, seed)
+    world.run(1.0)
+    rng = Random(seed)
+    faulty = list(world.machines.values())[::6]
+    frames = world.frames
+    for step in range(STEPS):
+        if fault == "killed" and step == FAULTY_STEPS.start:
+            for machine in faulty:
+                world.kill(world.process_of(machine.name))
+                world.at(1.0, "", world.start_agent, machine.name)
+        for machine in faulty if fault == "still" else ():
+            machine.endpoint.speed = 0.0 if step in FAULTY_STEPS else 1.0
+        for entry in world.entries:
+            tasks, run_s = rng.choice([2, 2, 2, 8, 4]), rng.choice([0.12, 0.4, 0.4])
+            world.submit(entry, tasks=tasks, run_s=run_s, cpu=1200)
+        world.run(STEP_S)
+    world.run(4.0)
+    assert world.breaches == []
+    done = [job for job in world.asked if is_in_time(job)]
+    return Played(len(done) / len(world.asked), world.frames - frames)
+
+
+def is_in_time(job) -> bool:  # type: ignore[no-untyped-def]
+    verdict = job.ticket.verdict
+    served = verdict is not None and verdict.outcome is Outcome.COMPLETED
+    return served and job.ended_at - job.at <= job.ticket.job.objective_s
+
+
+@pytest.mark.parametrize("fault", ["none", "still", "killed"])
+def test_tasks_together_serve_no_worse_and_cost_fewer_frames(
+    fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    together = [play(fault, seed) for seed in SEEDS]
+    monkeypatch.setattr(placing, "TOGETHER", 1)
+    apart = [play(fault, seed) for seed in SEEDS]
+    assert sum(each.in_time for each in together) >= sum(each.in_time for each in apart)
+    frames = sum(each.frames for each in together) / sum(each.frames for each in apart)
+    # A fault adds frames of its own, which neither way saves.
+    assert frames < (1.0 if fault == "still" else 0.85)
+
+
+def test_a_payload_leaves_an_entry_once_for_each_agent() -> None:
+    world = World(1, 1)
+    world.run(1.0)
+    sent: list[Message] = []
+    links = world.entries["e0"].links
+    assert links is not None
+    send = links.send
+    links.send = lambda peer, msg: (sent.append(msg), send(peer, msg))[1]  # type: ignore[method-assign]
+    jobs = [world.submit("e0", tasks=4, run_s=0.1) for _ in range(2)]
+    world.run(0.5)
+    assigned = [msg for msg in sent if isinstance(msg, Assign)]
+    assert sum(len(msg.tasks) for msg in assigned) == 8
+    assert sum(len(msg.payloads) for msg in assigned) == 2
+    assert {job.ticket.verdict.outcome for job in jobs if job.ticket.verdict} == {Outcome.COMPLETED}
