--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -243,7 +243,7 @@
     counted: Counter[str] = Counter()
     for machine in world.machines.values():
         assert machine.agent is not None
-        counted.update(machine.agent._metrics.snapshot())  # type: ignore[arg-type]
+        counted.update(machine.agent._board.metrics.snapshot())  # type: ignore[arg-type]
     assert counted["runs_refused.no_room"] < 0.05 * counted["runs_started"]
     assert world.breaches == []
     assert world.false_refusals() == []
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -436,7 +436,7 @@
         return HoldReply(world.time, (), ends)
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(agent._driver, "hold", hold)
+        patch.setattr(agent._board.driver, "hold", hold)
         agent.look()
     assert agent.table.acknowledged == 0
     job = world.submit("e0", tasks=4, run_s=0.2)
@@ -638,7 +638,7 @@
     world.run(1.0)
     assert [outcome(job) for job in jobs] == [Outcome.COMPLETED] * len(jobs)
     assert world.starts == 4 * len(jobs)
-    assert {m.agent._feed.version for m in world.machines.values() if m.agent} == {7}
+    assert {m.agent._board.feed.version for m in world.machines.values() if m.agent} == {7}
     assert_kept(world)
 
 
@@ -680,7 +680,7 @@
 
 def _refused(world: World) -> int:
     agents = [machine.agent for machine in world.machines.values() if machine.agent]
-    return sum(agent._metrics.total("runs_refused") for agent in agents)
+    return sum(agent._board.metrics.total("runs_refused") for agent in agents)
 
 
 def test_ended_runs_pass_a_connection_once_and_are_acknowledged_with_an_echo() -> None:
@@ -701,7 +701,7 @@
         world.run(0.04)
     world.run(0.3)
     assert sorted(rows) == list(range(1, 17))
-    assert not agent._reports.has_unseen
+    assert not agent._board.reports.has_unseen
 
 
 def test_ended_runs_that_were_lost_with_a_connection_are_sent_by_the_next() -> None:
