--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: demo test check bench faults docs format clean capacity routing
+.PHONY: demo test check bench faults docs format clean capacity routing speed
 
 .venv/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -42,5 +42,8 @@
 capacity: .venv/.installed
 	$(BIN)/python -m bench.capacity
 
+speed: .venv/.installed
+	$(BIN)/python -m bench.leased_speed
+
 routing: .venv/.installed
 	$(BIN)/python -m bench.routing
