What may always be on its way follows the settings' link: a process that stood still is no full link

Cause, by reading: after a freeze every report is late, and the bound fell to 0.7 of the little that was on its way, 8 KB on a link of 12.5 Mbit/s that carries that in 5 ms; it would have grown back by a quarter each 0.2 s. Change: no lower than what the link carries in 15 ms. Test: fails without it.

--- a/src/gentianmux/leased/send_window.py
+++ b/src/gentianmux/leased/send_window.py
@@ -21,6 +21,11 @@
 LEAST_BYTES = 8 * 1024
 """Bytes that may always be on their way: 65 ms of a link of 1 Mbit/s."""
 
+LEAST_S = 0.015
+"""Seconds of the link, as the settings tell it, that may always be on their way: so little does not
+fill it, and reports that are late all the same tell of a process that stood still. Small enough to
+fill 0.15 s of a link that has lost nine tenths of its width."""
+
 MOST_BYTES = 4 * 1024 * 1024
 """Bytes on their way in any case: a third of a second of a link of 100 Mbit/s."""
 
@@ -65,7 +70,8 @@
 
     def __init__(self, link_bytes_s: float = 0.0) -> None:
         start = int(START_S * link_bytes_s) if link_bytes_s else MOST_BYTES
-        self.limit = max(LEAST_BYTES, min(MOST_BYTES, start))
+        self._least = max(LEAST_BYTES, int(LEAST_S * link_bytes_s))
+        self.limit = max(self._least, min(MOST_BYTES, start))
         self.on_way = 0
         self.limited_at = float("-inf")
         self._sent: dict[str, deque[_Sent]] = {}
@@ -117,7 +123,7 @@
             if age_s > self._slow_s:
                 self._note(age_s)
         if self._quickest_s is not None and self._quickest_s > self._slow_s:
-            self.limit = max(LEAST_BYTES, int(SHRINK * min(self.limit, self._most)))
+            self.limit = max(self._least, int(SHRINK * min(self.limit, self._most)))
         elif self.is_limiting(now):
             self.limit = min(MOST_BYTES, int(GROW * self.limit))
         self._corrected_at = now
--- a/tests/test_send_window.py
+++ b/tests/test_send_window.py
@@ -60,6 +60,14 @@
     assert window.limit == MOST_BYTES
 
 
+def test_a_process_that_stood_still_does_not_pass_for_a_full_link() -> None:
+    window = SendWindow(link_bytes_s=1_562_500)
+    window.sent("w0", 1, 2_000, 0.0)
+    window.told("w0", 1, 4.0)
+    window.correct(4.0)
+    assert window.limit >= 20_000
+
+
 def test_the_limit_rises_only_while_something_waits_for_it() -> None:
     window = SendWindow()
     of_agents(window, 1, [0.3] * 5, ROUND_S)
