--- a/review/harness.py
+++ b/review/harness.py
@@ -819,6 +819,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> list[str]:
+        _end_on_signals(asyncio.current_task())
         record = Record()
         record.add(f"disruption: {'yes' if trouble else 'no'}")
         with tempfile.TemporaryDirectory() as logs:
@@ -840,7 +841,14 @@
 
     try:
         broken = asyncio.run(asyncio.wait_for(play(), TIME_LIMIT_S))
-    except (NotRun, TimeoutError, OSError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"not run: {exc!r}", file=sys.stderr)
         return EXIT_NOT_RUN
     return EXIT_BROKEN if broken else EXIT_HELD
+
+
+def _end_on_signals(task: asyncio.Task[Any] | None) -> None:
+    """Let a signal end a case in order, so that its processes end too."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: task and task.cancel())
