Leases of an endpoint end in time while stops are not confirmed

Cause: an agent renews one lease for all runs of its endpoint.

Change: a run that must end (its entry's lease has expired, or it was withdrawn) has a lease limit, one endpoint lease after that moment. Polls and starts ask for no lease past the earliest limit of a run whose stop is not confirmed. The bound of leases_expire_at then holds whatever is answered. A poll counts its lease from before it acquires the fencing token.

Other members of the class: * a start renews the lease of the whole endpoint too: limited, and not sent below 0.2 s (test); * withdrawn runs, whose callers may resubmit after a 504: limited (test); * FleetView.is_expired of an entry that is cut off: it counts from the last report heard, which is no earlier than the report whose echo renewed the entry's lease, so runs end by that bound; * a newer run that replaces an earlier one waits for proof at the same agent: no limit needed; * stalled and unfinishable runs: their task is started elsewhere only after proof; * runs unknown to a restarted agent: not renewed until reconciled, as before; * late starts of an earlier agent: rejected by the fencing token.

Weighed: no renewal at all once a stop is overdue costs every other run there at once; stops on connections of their own cost 72 more connections and only make the fault rarer.

--- a/bench/leased_endpoint.py
+++ b/bench/leased_endpoint.py
@@ -78,6 +78,8 @@
         Starts that get no answer although they are carried out.
     delayed_starts : int
         Starts that get no answer and are carried out ``late_by`` seconds later.
+    ignored_stops : int
+        Stops that get no answer and are not carried out.
     """
 
     def __init__(self, world: "World", name: str, capacity: Resources) -> None:
@@ -94,6 +96,7 @@
         self.unanswered_calls = 0
         self.lose_looks = 0.0
         self.delayed_starts = 0
+        self.ignored_stops = 0
         self.late_by = 3.0
         self.up = True
         self.active: dict[tuple[str, int], FakeRun] = {}
@@ -247,6 +250,9 @@
             return True
         except NoAnswer:
             return False
+        if endpoint.ignored_stops:
+            endpoint.ignored_stops -= 1
+            return False
         endpoint.advance()
         known = endpoint.active.get((task, run))
         if known is None:
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -273,7 +273,7 @@
             key = (ref.task, ref.run)
             run = self._ctx.table.runs.get(key)
             if run is not None and run.entry == entry:
-                self._stopper.stop(key, RunOutcome.STOPPED, "withdrawn")
+                self._stopper.stop_in_time(key, "withdrawn", self._ctx.clock.now())
             else:
                 self._starter.withdraw(key, entry)
         self._stopper.send_due_stops()
--- a/src/gentianmux/leased/endpoint_poller.py
+++ b/src/gentianmux/leased/endpoint_poller.py
@@ -141,7 +141,7 @@
         reconciled = self._table.is_reconciled
         answered_recently = self._clock.now() - self._last_answer_at() < RENEWAL_GRACE_S
         # Leases of runs that an earlier agent started are not renewed: those runs have to end.
-        renew_s = self._lease_s if reconciled and answered_recently else 0.0
+        renew_s = self._renewal_s() if reconciled and answered_recently else 0.0
         wait_s = self._wait_s()
         timeout_s = wait_s + POLL_TIMEOUT_MARGIN_S
         incarnation = self.incarnation
@@ -161,6 +161,11 @@
             self._apply_reply(reply, incarnation)
         return True
 
+    def _renewal_s(self) -> float:
+        """Lease that a poll asks for: shorter while a run that has to end may still be active."""
+        left_s = self._table.lease_limit - self._clock.now()
+        return max(0.0, min(self._lease_s, left_s))
+
     def _wait_s(self) -> float:
         if not self._table.is_reconciled:
             return CLEANUP_POLL_WAIT_S
--- a/src/gentianmux/leased/entry_leases.py
+++ b/src/gentianmux/leased/entry_leases.py
@@ -72,7 +72,11 @@
 
     def holds(self, entry: str, now: float) -> bool:
         """Whether an entry holds a lease: its runs may go on, and new ones may begin."""
-        return now < self._until.get(entry, 0.0)
+        return now < self.expires_at(entry)
+
+    def expires_at(self, entry: str) -> float:
+        """Monotonic time at which an entry's lease expires, or has expired; 0 if it has none."""
+        return self._until.get(entry, 0.0)
 
     def count_valid(self, now: float) -> int:
         """Number of entries that hold a lease."""
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -15,6 +15,9 @@
 
 REPLACE_CHECK_INTERVAL_S = 0.01
 
+MIN_START_LEASE_S = 0.2
+"""Shortest lease with which a run is started: two polls, so that the lease can be renewed."""
+
 _REFUSAL_OUTCOMES = {
     StartResult.OLD_RUN: RunOutcome.OLD_RUN,
     StartResult.NO_ROOM: RunOutcome.NO_ROOM,
@@ -119,7 +122,12 @@
         if self._ctx.is_evacuated:
             self._end_refused(key, RunOutcome.DRAINING)
             return
-        result = self._ctx.driver.start(task.name, task.run, payload, self._ctx.lease_s, now)
+        lease_s = min(self._ctx.lease_s, self._ctx.table.lease_limit - now)
+        if lease_s < MIN_START_LEASE_S:
+            # A start renews the lease of every run at the endpoint, and one of them has to end.
+            self._end_refused(key, RunOutcome.NOT_STARTED)
+            return
+        result = self._ctx.driver.start(task.name, task.run, payload, lease_s, now)
         now = self._ctx.clock.now()
         if result is StartResult.STARTED:
             self._ctx.table.started(key, now)
--- a/src/gentianmux/leased/run_stopper.py
+++ b/src/gentianmux/leased/run_stopper.py
@@ -30,6 +30,15 @@
             self._ctx.metrics.count("runs_stopped", label=outcome.name.lower())
             logger.bind(task=key[0], run=key[1], reason=reason).info("run stopped")
 
+    def stop_in_time(self, key: RunKey, reason: str, since: float) -> None:
+        """Stop a run that has to end although other runs go on.
+
+        Its task may be started elsewhere, so it must not outlive the lease that it had at
+        ``since``, monotonic time, also if its stop is never confirmed.
+        """
+        self._ctx.table.limit_lease(key, since + self._ctx.lease_s)
+        self.stop(key, RunOutcome.STOPPED, reason)
+
     def send_due_stops(self) -> None:
         """Send the endpoint the stops that it has not confirmed."""
         for key in self._ctx.table.due_stops(self._ctx.clock.now()):
@@ -49,5 +58,6 @@
         now = self._ctx.clock.now()
         for run in list(self._ctx.table.runs.values()):
             if not self._ctx.reporter.leases.holds(run.entry, now):
-                self.stop(run.key, RunOutcome.STOPPED, f"{run.entry} no longer echoes")
+                expired_at = self._ctx.reporter.leases.expires_at(run.entry)
+                self.stop_in_time(run.key, f"{run.entry} no longer echoes", expired_at)
         self.send_due_stops()
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 from .model import HoldReply, RunOutcome
@@ -37,6 +38,8 @@
         Whether a poll has shown it as active.
     carried_over : bool
         Whether it was started before the endpoint restarted: it may have run, and ended then.
+    lease_limit : float
+        Monotonic time past which the endpoint's lease is not renewed while this run may be active.
     """
 
     key: RunKey
@@ -51,6 +54,7 @@
     listed: bool = False
     carried_over: bool = False
     missing_polls: int = 0
+    lease_limit: float = inf
     progress: RunProgress = field(default_factory=lambda: RunProgress(0.0))
 
     @property
@@ -163,6 +167,22 @@
         run.stop_outcome = outcome
         return True
 
+    def limit_lease(self, key: RunKey, until: float) -> None:
+        """Let the lease of a run end at ``until``, unless its stop is confirmed before."""
+        run = self.runs.get(key)
+        if run is not None:
+            run.lease_limit = min(run.lease_limit, until)
+
+    @property
+    def lease_limit(self) -> float:
+        """Monotonic time past which no lease may be renewed; infinite if no run has to end.
+
+        A lease covers every run of the endpoint, so one that has to end limits those of all others
+        until its stop is confirmed.
+        """
+        unconfirmed = (run.lease_limit for run in self.runs.values() if run.stopped_at is None)
+        return min(unconfirmed, default=inf)
+
     def stop_confirmed(self, key: RunKey, now: float) -> None:
         """Record that the endpoint is ending this run, or will not start it any more."""
         run = self.runs.get(key)
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -217,9 +217,10 @@
 
     def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
         """Renew the lease of all runs (none if ``lease_s`` is 0) and wait for a run to end."""
+        # Taken first: the lease must not begin later than its caller has decided on it.
+        asked_at = monotonic()
         if not self._fence:
             self._acquire_fence()
-        asked_at = monotonic()
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
         if lease_s:
             content["until_ms"] = self._lease_until_ms(lease_s, asked_at)
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -138,6 +138,58 @@
     assert_invariants_hold(world)
 
 
+def test_runs_of_killed_entry_end_in_time_while_stops_are_lost() -> None:
+    """Guards against a lease renewed for a whole endpoint, while a run there has to end."""
+    world = ready_world(agents=2, entries=2)
+    world.submit("e1", tasks=2, run_s=4.0, time_limit_s=9.0)
+    job = world.submit("e0", tasks=12, run_s=4.0)
+    world.run(0.5)
+    for machine in world.machines.values():
+        machine.endpoint.ignored_stops = 1000
+    world.kill(world.process_of("e0"))
+    world.run(1.3)
+    again = world.submit("e1", tasks=12, run_s=4.0, job_id=job.spec.job_id, time_limit_s=9.0)
+    world.run(0.5)
+    for machine in world.machines.values():
+        machine.endpoint.ignored_stops = 0
+    world.run(8.0)
+    assert outcome(again) is JobOutcome.COMPLETED
+    assert_invariants_hold(world)
+
+
+def test_withdrawn_runs_end_in_time_while_stops_are_lost() -> None:
+    """Guards against a lease that is renewed for runs that their entry has withdrawn."""
+    world = ready_world(agents=2, entries=2)
+    world.submit("e1", tasks=2, run_s=4.0, time_limit_s=9.0)
+    job = world.submit("e0", tasks=6, run_s=4.0)
+    world.run(0.5)
+    for machine in world.machines.values():
+        machine.endpoint.ignored_stops = 1000
+    world.entries["e0"].entry.abandon(job.handle, "reset")  # type: ignore[union-attr]
+    world.run(1.3)
+    world.submit("e1", tasks=6, run_s=4.0, job_id=job.spec.job_id, time_limit_s=9.0)
+    world.run(0.5)
+    for machine in world.machines.values():
+        machine.endpoint.ignored_stops = 0
+    world.run(8.0)
+    assert_invariants_hold(world)
+
+
+def test_start_renews_no_lease_of_run_that_has_to_end() -> None:
+    """Guards against a start, whose lease covers the whole endpoint, in place of a renewal."""
+    world = ready_world(agents=1, entries=2)
+    world.submit("e0", tasks=1, run_s=4.0)
+    world.run(0.5)
+    endpoint = world.machines["w0"].endpoint
+    endpoint.ignored_stops = 1000
+    world.kill(world.process_of("e0"))
+    for _ in range(13):
+        world.run(0.1)
+        world.submit("e1", run_s=0.05)
+    endpoint.advance()
+    assert not any(run.work.run_s == 4.0 for run in endpoint.active.values())
+
+
 def test_entry_that_resumes_does_not_rerun_job_that_runs_elsewhere() -> None:
     world = ready_world(entries=2)
     job = world.submit("e0", tasks=6, run_s=1.0, time_limit_s=2.0)
@@ -247,6 +299,25 @@
     assert all(outcome(job) is not None for job in world.asked if _entry_lives(world, job))
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_random_walks_with_lost_stops(seed: int) -> None:
+    """Guards against runs that go on, since their stop is lost, after callers have resubmitted."""
+    world = ready_world(agents=5, entries=3, seed=seed)
+    rng = Random(seed)
+    for _ in range(60):
+        if rng.random() < 0.3:
+            machine = world.machines[rng.choice(sorted(world.machines))]
+            machine.endpoint.ignored_stops = rng.randrange(30)
+        else:
+            _inject_fault(world, rng)
+        for _ in range(rng.randrange(4)):
+            entry = rng.choice(sorted(world.entries))
+            world.submit(entry, tasks=rng.randrange(1, 9), run_s=rng.choice([0.06, 0.9, 2.5]))
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(9.0)
+    assert_invariants_hold(world)
+
+
 def _entry_lives(world: World, job: object) -> bool:
     handles = [node.entry.jobs.values() for node in world.entries.values() if node.entry]
     return any(job.handle in each for each in handles)  # type: ignore[attr-defined]
