A shutdown notice is no proof that an endpoint's runs have ended

Cause: an agent took the deregistration of its endpoint as the end of all its runs and reported them as lost at once.

Change: after the notice the endpoint counts as departing: it gets no new runs and no longer lease, and is polled on. Its runs end as polls list them, or once every lease has expired; then the agent stops tracking it. Later heartbeats of that incarnation are ignored.

Other members of the class, by caller of mark_all_lost and begin_incarnation: * detach for another id that answers a poll, and _switch_to after a probe: the answer comes from the endpoint's address, which one process serves at a time; * the probe took any status but 421 as presence. An overloaded endpoint may answer 429 or 503 before it compares ids: such an answer is now inconclusive; * on_restarted: the poll's answer carries another start time; answers of earlier incarnations are dropped by the incarnation counter; * unanswered polls: runs are lost only after lease_end, which no refused connection shortens; * an agent's own restart: unknown runs get no lease and are stopped before anything starts; * entries: lose_earlier_processes only for an accepting, hence reconciled, later process.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -222,12 +222,14 @@
             self._send_state()
         if finished:
             self._ctx.reporter.offer_resources()
+        self._ctx.tracker.detach_if_departed()
 
     def _on_unanswered_poll(self, became_silent: bool) -> None:
         if became_silent:
             self._ctx.reporter.schedule_report()
         if self._ctx.table.runs and self._ctx.clock.now() > self._ctx.driver.lease_end():
             self._ctx.handle_finished(self._ctx.table.mark_all_lost())
+        self._ctx.tracker.detach_if_departed()
 
     # Runs
 
--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -65,8 +65,10 @@
     Attributes
     ----------
     report : EndpointReport or None
-        Newest heartbeat of the current incarnation; None while there is none, or it has not
-        reported.
+        Newest heartbeat of the current incarnation; None while there is none, it has not reported,
+        or it has sent its shutdown notice.
+    is_departing : bool
+        Whether the endpoint has sent its shutdown notice, and runs there have yet to end.
 
     Examples
     --------
@@ -83,6 +85,7 @@
         hooks: TrackerHooks,
     ) -> None:
         self.report: EndpointReport | None = None
+        self.is_departing = False
         self._cfg = cfg
         self._driver = driver
         self._table = table
@@ -92,6 +95,7 @@
         self._newest: EndpointReport | None = None
         self._tracked_id = ""
         self._switch_count = 0
+        self._departed: tuple[str, int] | None = None
         self._unreadable_writers: set[str] = set()
 
     def handle_heartbeat(self, report: EndpointReport) -> None:
@@ -103,7 +107,7 @@
             self.handle_unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
         elif kind is HeartbeatKind.OVERTAKEN:
             self._skip_overtaken(report)
-        elif kind is HeartbeatKind.ENDED:
+        elif kind is HeartbeatKind.ENDED or (report.endpoint, report.born) == self._departed:
             self._log_stale(report)
         elif kind in _OTHER_INCARNATIONS and self._tracked_id:
             self._probe_incarnation(report, kind)
@@ -132,9 +136,10 @@
     def handle_shutdown_notice(self, endpoint: str, born: int) -> None:
         """Handle a shutdown notice; ``born`` is 0 if it does not carry the endpoint's start.
 
-        A notice of an earlier incarnation may be late. Acting on it would give up active runs of
-        the current one, and other endpoints would get the same tasks. A notice in doubt is
-        ignored: an endpoint that has ended answers no polls, and its runs end with their leases.
+        The notice is no proof that the endpoint has ended: without a response to it, the endpoint
+        stays for some seconds. Its runs get no longer lease, and end as polls list them or once
+        every lease has expired. A notice of an earlier incarnation may be late and is ignored:
+        otherwise active runs of the current one would be given up.
         """
         known = self.report
         if known is None or known.endpoint != endpoint:
@@ -144,33 +149,37 @@
                 "farewell ignored, perhaps of an earlier life"
             )
             return
-        if born:
-            self._end_incarnation()
-        else:
-            self.detach("it left")
-
-    def _end_incarnation(self) -> None:
-        """End the runs that the incarnation was seen to run; others may have reached a later one.
-
-        An agent that was paused gets the notice before it finds that the endpoint has restarted.
-        """
-        logger.bind(endpoint=self._tracked_id, reason="it left").warning("endpoint gone")
+        logger.bind(endpoint=endpoint, runs=len(self._table.runs)).info("endpoint departs")
         self.report = None
-        self._notify_switched(self._table.begin_incarnation())
+        self.is_departing = True
+        self._departed = (endpoint, born)
+        self._table.end_leases()
+        # A restarted agent would resume this incarnation from its announcement.
         self._hooks.on_report_changed(None)
+        self.detach_if_departed()
+
+    def detach_if_departed(self) -> None:
+        """Stop tracking an endpoint that departs, once none of its runs is left."""
+        if self.is_departing and not self._table.runs:
+            self.detach("it left")
 
     def detach(self, reason: str) -> None:
-        """Record that the endpoint is gone, and end all of its runs."""
+        """Record that the endpoint is gone, and end all of its runs.
+
+        Only for an endpoint in whose place another one answers, or that has no runs left.
+        """
         if not self._tracked_id:
             return
         logger.bind(endpoint=self._tracked_id, reason=reason).warning("endpoint gone")
+        was_announced = not self.is_departing
         self.report = None
         self._tracked_id = ""
         finished = self._table.mark_all_lost()
         self._table.reset(NO_RESOURCES)
         self._notify_switched(finished)
-        # A restarted agent would resume the ended incarnation from its announcement.
-        self._hooks.on_report_changed(None)
+        if was_announced:
+            # A restarted agent would resume the ended incarnation from its announcement.
+            self._hooks.on_report_changed(None)
 
     def on_restarted(self, born: int) -> None:
         """Switch to a later incarnation that answered; it gets no runs until its heartbeat comes.
@@ -279,4 +288,5 @@
 
     def _notify_switched(self, finished: list[FinishedRun]) -> None:
         self._switch_count += 1
+        self.is_departing = False
         self._hooks.on_switched(self._tracked_id, finished)
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -92,6 +92,7 @@
         self.acknowledged = 0
         self.unknown_runs: set[RunKey] = set()
         self.is_polled = False
+        self._leases_ended = False
         self._stop_sent_at: dict[RunKey, float] = {}
 
     def reset(self, capacity: Resources) -> None:
@@ -101,6 +102,7 @@
         self.acknowledged = 0
         self.unknown_runs = set()
         self.is_polled = False
+        self._leases_ended = False
 
     def begin_incarnation(self) -> list[FinishedRun]:
         """Start over with a later incarnation, and return the runs lost with the earlier one.
@@ -117,6 +119,7 @@
         self.acknowledged = 0
         self.unknown_runs = set()
         self.is_polled = False
+        self._leases_ended = False
         return finished
 
     @property
@@ -173,6 +176,10 @@
         if run is not None:
             run.lease_limit = min(run.lease_limit, until)
 
+    def end_leases(self) -> None:
+        """Renew no lease of this incarnation any more."""
+        self._leases_ended = True
+
     @property
     def lease_limit(self) -> float:
         """Monotonic time past which no lease may be renewed; infinite if no run has to end.
@@ -180,6 +187,8 @@
         A lease covers every run of the endpoint, so one that has to end limits those of all others
         until its stop is confirmed.
         """
+        if self._leases_ended:
+            return 0.0
         unconfirmed = (run.lease_limit for run in self.runs.values() if run.stopped_at is None)
         return min(unconfirmed, default=inf)
 
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -163,9 +163,12 @@
             reply = self._poll_client.call("POST", "/v1/hold", body, COMMAND_TIMEOUT_S, headers)
             if reply.status == REPLACED_STATUS:
                 return False
-            if reply.status != 200:
+            if reply.status == 409:
                 # Rejected for the token: with the same id the incarnation remains unknown.
                 return None if is_same_id and report.born else True
+            if reply.status != 200:
+                # An overloaded or failing endpoint may respond before it compares the id.
+                return None
             return _born_of(reply.json()) in (UNKNOWN_START_MS, report.born) or not report.born
         except NoAnswer as exc:
             logger.bind(endpoint=report.endpoint, reason=str(exc)).info(
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -321,6 +321,52 @@
     assert not agent_of(world).is_accepting
 
 
+@pytest.mark.parametrize("has_start", [True, False])
+def test_endpoint_that_stays_after_its_shutdown_notice_runs_no_task_twice(has_start: bool) -> None:
+    """Guards against a notice taken as proof that runs have ended: the endpoint may stay on."""
+    world = ready_world(agents=2)
+    endpoint = world.machines["w0"].endpoint
+    if not has_start:
+        endpoint.born = 0
+        world.run(0.6)
+    job = world.submit("e0", tasks=12, run_s=2.0)
+    world.run(0.3)
+    assert endpoint.active
+    agent_of(world).on_shutdown_notice(endpoint.name, endpoint.born)
+    assert not agent_of(world).is_accepting
+    world.run(8.0)
+    assert outcome(job) is JobOutcome.COMPLETED
+    assert_invariants_hold(world)
+
+
+def test_runs_of_endpoint_that_left_are_lost_once_their_leases_have_expired() -> None:
+    """Guards against tasks that wait for proof longer than a lease lasts."""
+    world = ready_world(agents=2)
+    endpoint = world.machines["w0"].endpoint
+    job = world.submit("e0", tasks=12, run_s=2.0)
+    world.run(0.3)
+    agent_of(world).on_shutdown_notice(endpoint.name, endpoint.born)
+    endpoint.up = False
+    world.run(0.75)
+    assert agent_of(world).table.runs == {}
+    assert agent_of(world).poller.endpoint == ""
+    world.run(8.0)
+    assert outcome(job) is JobOutcome.COMPLETED
+    assert_invariants_hold(world)
+
+
+def test_heartbeat_after_shutdown_notice_is_ignored() -> None:
+    """Guards against new runs at an endpoint that has said that it ends."""
+    world = ready_world(agents=1)
+    endpoint = world.machines["w0"].endpoint
+    agent_of(world).on_shutdown_notice(endpoint.name, endpoint.born)
+    world.run(2.0)
+    assert agent_of(world).report is None
+    world.replace_endpoint("w0")
+    world.run(1.0)
+    assert agent_of(world).is_accepting
+
+
 def test_start_not_sent_before_endpoint_restart_is_dropped() -> None:
     world = ready_world(agents=1)
     agent = agent_of(world)
@@ -365,7 +411,22 @@
     assert_invariants_hold(world)
 
 
-def _disturb_endpoints(world: World, rng: Random) -> None:
+@pytest.mark.parametrize("seed", range(12))
+def test_random_walks_with_endpoints_that_stay_after_their_notice(seed: int) -> None:
+    """Guards against runs given up without proof, at endpoints that get no answer to a notice."""
+    world = ready_world(agents=5, entries=3, seed=seed)
+    rng = Random(seed)
+    for _ in range(60):
+        _disturb_endpoints(world, rng, stays_s=rng.choice([0.2, 3.0]))
+        for _ in range(rng.randrange(4)):
+            entry = rng.choice(sorted(world.entries))
+            world.submit(entry, tasks=rng.randrange(1, 9), run_s=rng.choice([0.2, 0.9, 2.5]))
+        world.run(rng.uniform(0.01, 0.3))
+    world.run(9.0)
+    assert_invariants_hold(world)
+
+
+def _disturb_endpoints(world: World, rng: Random, stays_s: float = 0.0) -> None:
     machine = world.machines[rng.choice(sorted(world.machines))]
     what = rng.randrange(6)
     if what == 0 and machine.endpoint.up:
@@ -379,11 +440,20 @@
         agent_of(world, machine.name).on_shutdown_notice(
             machine.endpoint.name, machine.endpoint.born
         )
-        world.replace_endpoint(machine.name)
+        if stays_s:
+            world.at(stays_s, "", _replace_endpoint, world, machine.name, machine.endpoint.name)
+        else:
+            world.replace_endpoint(machine.name)
     else:
         _inject_fault(world, rng)
 
 
+def _replace_endpoint(world: World, name: str, endpoint: str) -> None:
+    """Replace an endpoint that has stayed for some time, unless another has taken its place."""
+    if world.machines[name].endpoint.name == endpoint:
+        world.replace_endpoint(name)
+
+
 def _deliver_late(world: World, name: str, report: EndpointReport, notice: tuple[str, int]) -> None:
     """Deliver the last messages of an earlier incarnation, if the agent is alive."""
     if world.process_of(name) in world.alive:
