Cancelled jobs are remembered by all processes and never started again

Cause: an entry forgot the id of a cancelled job, and no entry knew the jobs of another.

Change: a cancel is sent to all peers and passed on once by each process; agents refuse to start and stop what was cancelled, entries end the job and answer later requests as cancelled. The caller gets 200 once agents in two failure domains remember it, else 503.

DELETE of an unknown job answers 200 in place of 410, since an entry cannot know that no other one runs it, and nothing of it starts from then on.

Other members of the class: a job ended a moment ago is run again when it is resubmitted at another entry; the interface allows that, and a test shows it. A withdrawn run is refused by WithdrawnRuns for 10 s as before. An evacuation is passed on in the same way already.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -45,6 +45,10 @@
 """Seconds after an evacuation is known anywhere until no run begins there: ten round trips, where
 the deployments allow 5 s from its record on."""
 
+CANCEL_S = 1.0
+"""Seconds after a cancel at any entry until nothing of its job begins, where the deployments allow
+3 s from its acknowledgement on."""
+
 
 @dataclass
 class Machine:
@@ -150,6 +154,7 @@
         self._count = 0
         self._jobs = 0
         self.store = MemoryKeyedLog()
+        self.cancelled_at: dict[str, float] = {}
         self.evacuated_at: dict[str, float] = {}
         self.config = JobConfig(1, (QUEUE,), RequestLimits(), b"1")
         self.machines: dict[str, Machine] = {}
@@ -488,8 +493,11 @@
         return asked
 
     def note_start(self, endpoint: FakeEndpoint, task: str, late: bool) -> None:
-        """Check a start against evacuations, and runs of its task that are at work elsewhere."""
+        """Check a start against evacuations, cancels, and other runs of its task at work."""
         self.started.add(task)
+        cancelled_at = self.cancelled_at.get(task.partition(".")[0], self.time)
+        if self.time > cancelled_at + CANCEL_S and not late:
+            self.breaches.append(Breach("UNASKED", self.time, task))
         for machine in self.machines.values():
             other = machine.endpoint
             since = self.evacuated_at.get(machine.domain, self.time)
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -10,6 +10,7 @@
 from ..clock import Clock, run_periodically
 from ..messages import (
     Assign,
+    Cancelled,
     ConfigPiece,
     ConfigWanted,
     EndpointState,
@@ -22,7 +23,8 @@
     Withdraw,
 )
 from ..metrics import Metrics
-from .agent_context import AgentContext
+from .agent_context import AgentContext, job_id_of
+from .cancel_broadcast import CancelBroadcast
 from .config_feed import ConfigFeed
 from .config_transfer import ConfigTransfer
 from .endpoint_health import EndpointHealth
@@ -98,6 +100,7 @@
         self._idle_since: float | None = None
         self.on_report_change: Callable[[EndpointReport | None], None] = lambda report: None
         self._stopper = RunStopper(ctx)
+        ctx.cancel_broadcast = CancelBroadcast(links, metrics, clock, self._on_cancelled)
         self._starter = RunStarter(ctx, self._stopper)
         self._monitor = RunMonitor(ctx, self._stopper)
         ctx.tracker = EndpointTracker(
@@ -292,6 +295,19 @@
     def _(self, msg: Evacuated, entry: str) -> None:
         self._evacuation_broadcast.take(msg, entry)
 
+    @on_message.register
+    def _(self, msg: Cancelled, entry: str) -> None:
+        self._ctx.cancel_broadcast.take(msg, entry)
+
+    def _on_cancelled(self, job_ids: list[str]) -> None:
+        """Stop the runs of jobs that were cancelled at any entry."""
+        now = self._ctx.clock.now()
+        cancelled = set(job_ids)
+        for key in list(self._ctx.table.runs):
+            if job_id_of(key[0]) in cancelled:
+                self._stopper.stop_in_time(key, "its job was cancelled", now)
+        self._stopper.send_due_stops()
+
     def _on_evacuations(self, _evacuations: Evacuations) -> None:
         self._send_state()
         self._ctx.reporter.schedule_report()
@@ -323,6 +339,7 @@
         held = [RunRef(*run.key) for run in self._ctx.table.of_entry(entry)]
         held += [RunRef(*key) for key in sorted(self._starter.replacing)]
         self._evacuation_broadcast.send_to(entry)
+        self._ctx.cancel_broadcast.send_all(entry)
         self._ctx.links.send(entry, self._endpoint_state())
         self._ctx.links.send(entry, Holding(self._ctx.reporter.applied.get(entry, 0), held))
         self._ctx.reporter.resend_ended(entry)
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..metrics import Metrics
+from .cancel_broadcast import CancelBroadcast
 from .config_feed import ConfigFeed
 from .endpoint_health import EndpointHealth
 from .endpoint_poller import EndpointPoller
@@ -45,13 +46,14 @@
         Whether the process was told to stop.
     shutdown_at : float
         Monotonic time by which runs have to end then, in seconds.
-    tracker, poller, reporter : EndpointTracker, EndpointPoller, EntryReporter
+    tracker, poller, reporter, cancel_broadcast
         Set by the agent, as they call back into it.
     """
 
     tracker: EndpointTracker
     poller: EndpointPoller
     reporter: EntryReporter
+    cancel_broadcast: CancelBroadcast
 
     def __init__(
         self,
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -8,6 +8,8 @@
 from ..clock import Clock, run_periodically
 from ..messages import (
     AgentLoad,
+    Cancelled,
+    CancelledSeen,
     ConfigPiece,
     ConfigWanted,
     EndedRuns,
@@ -26,6 +28,7 @@
 from .evacuation_broadcast import EvacuationBroadcast
 from .evacuations import Evacuations
 from .fleet_view import FleetView
+from .job_canceller import JobCanceller
 from .job_handle import JobHandle, JobResult
 from .job_state import JobOutcome, JobState, estimate_critical_path_s
 from .links import Links
@@ -92,6 +95,7 @@
             feed.evacuations, links, self._on_evacuations
         )
         self._completions = RunCompletions(self._ctx)
+        self.canceller = JobCanceller(self._ctx)
         self._admission_controller = AdmissionController(self._ctx)
         self._placer = Placer(self._ctx, self._completions, self._admission_controller.policies)
         self.shutting_down = False
@@ -131,6 +135,9 @@
             self._ctx.metrics.count("jobs_joined")
             return running
         now = self._ctx.clock.now()
+        cancelled = self.canceller.finished_handle(spec, queue, now)
+        if cancelled is not None:
+            return cancelled
         job = JobState(spec, queue, now, now + time_limit_s)
         handle = JobHandle(job)
         self._ctx.jobs[spec.job_id] = handle
@@ -149,13 +156,6 @@
         waiting = (job for job in self._ctx.backlog if not job.began)
         return sum(1 for job in waiting if job.queue.name == queue)
 
-    def cancel(self, job_id: str) -> bool:
-        """Cancel a job; False when it is not known here."""
-        handle = self._ctx.jobs.get(job_id)
-        if handle is not None:
-            self._ctx.finish(handle.job, JobResult(JobOutcome.CANCELLED, "cancelled by its caller"))
-        return handle is not None
-
     def abandon(self, handle: JobHandle, reason: str) -> None:
         """Stop a job that nobody waits for any more."""
         self._ctx.finish(handle.job, JobResult(JobOutcome.UNKNOWN, reason))
@@ -223,6 +223,14 @@
     def _(self, msg: Evacuated, agent: str) -> None:
         self._evacuation_broadcast.take(msg, agent)
 
+    @on_message.register
+    def _(self, msg: Cancelled, agent: str) -> None:
+        self.canceller.broadcast.take(msg, agent)
+
+    @on_message.register
+    def _(self, msg: CancelledSeen, agent: str) -> None:
+        self.canceller.broadcast.take_seen(msg, agent)
+
     def _on_evacuations(self, evacuations: Evacuations) -> None:
         self._ctx.view.evacuated = evacuations.failure_domains
         self._placer.place_soon()
@@ -232,6 +240,7 @@
     def _on_open(self, hello: Hello) -> None:
         # Before any assignment: the agent may have just started.
         self._evacuation_broadcast.send_to(hello.process)
+        self.canceller.broadcast.send_all(hello.process)
         self._completions.opened_at[hello.process] = self._ctx.clock.now()
         self._ctx.window.forget(hello.process)
         # Echo the next report at once: the connection may replace a silent one, whose entry lease
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -58,6 +58,8 @@
         key = (task.name, task.run)
         if self._withdrawn.holds(entry, key):
             return RunOutcome.NOT_STARTED
+        if self._is_cancelled(task.name, entry):
+            return RunOutcome.NOT_STARTED
         if not self._ctx.is_accepting or task.estimate_ms > self._ctx.max_estimate_ms():
             return RunOutcome.DRAINING
         if key in self._ctx.table.runs and self._ctx.table.runs[key].entry == entry:
@@ -91,6 +93,15 @@
         self._ctx.clock.call_soon(self._start, task, payload)
         return None
 
+    def _is_cancelled(self, task: str, entry: str) -> bool:
+        """Whether a task's job was cancelled, of which its entry is then informed."""
+        job_id = job_id_of(task)
+        broadcast = self._ctx.cancel_broadcast
+        if not broadcast.cancellations.holds(job_id, self._ctx.clock.now()):
+            return False
+        broadcast.send_one(entry, job_id)
+        return True
+
     def _accept_when_gone(self, task: LeasedTask, payload: str, entry: str, until: float) -> None:
         """Accept a run once no earlier run of its task is left, unless it was withdrawn."""
         if (task.name, task.run) not in self.replacing:
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -485,6 +485,22 @@
     failure_domains: list[str]
 
 
+class Cancelled(NamedTuple):
+    """Ids of jobs that were cancelled, of which nothing may start any more.
+
+    The receiver confirms a ``number`` other than 0 with ``CancelledSeen``.
+    """
+
+    number: int
+    job_ids: list[str]
+
+
+class CancelledSeen(NamedTuple):
+    """Confirmation that the jobs of a ``Cancelled`` message are remembered."""
+
+    number: int
+
+
 class ConfigWanted(NamedTuple):
     """Request to a peer for part of its packed configuration, starting at ``offset`` bytes."""
 
@@ -535,6 +551,8 @@
     | LoadEcho
     | EndpointState
     | Evacuated
+    | Cancelled
+    | CancelledSeen
     | ConfigWanted
     | ConfigPiece
 )
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -49,6 +49,11 @@
     ),
     "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
     "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
+    "cancels": Metric("counter", "cancels", "Cancels of callers, by whether they were accepted."),
+    "cancelled_jobs": Metric("gauge", "jobs", "Cancelled jobs that are remembered."),
+    "jobs_cancelled_before": Metric(
+        "counter", "jobs", "Requests for jobs that were cancelled before they arrived."
+    ),
     "runs_assigned": Metric("counter", "runs", "Runs handed to agents."),
     "runs_back": Metric("counter", "runs", "Runs that agents reported as ended, by how."),
     "runs_withdrawn": Metric("counter", "runs", "Runs taken back from agents."),
--- a/src/gentianmux/platform/callers.py
+++ b/src/gentianmux/platform/callers.py
@@ -29,6 +29,9 @@
 RETRY_AFTER_S = 1
 """Retry delay sent to callers by a process that cannot accept jobs yet or any more."""
 
+CANCEL_TIMEOUT_S = 1.0
+"""Time for which a cancel waits for its confirmation by agents, before it has to be repeated."""
+
 FIRST_CONFIG_TIMEOUT_S = 0.5
 """Time that a request waits for the first configuration of a process that has just started, instead
 of being refused."""
@@ -126,12 +129,21 @@
         if method == "POST":
             return self._submit(environ, queue, rest)
         if method == "DELETE":
-            return Response(200 if self._entry.cancel(rest) else 410, {"state": "cancelled"})
+            return self._cancel(rest)
         if method == "GET":
             # The result of a job is sent in the response to its POST and not kept.
             return Response(410, {"error": "no such job is kept"})
         raise GentianmuxError(ResultCode.METHOD_NOT_ALLOWED, method)
 
+    def _cancel(self, job_id: str) -> Response:
+        """Cancel a job, also one that another entry runs or that arrives later."""
+        pending = self._entry.canceller.cancel(job_id)
+        if pending.confirmed.wait(CANCEL_TIMEOUT_S):
+            return Response(200, {"state": "cancelled"})
+        self._entry.canceller.forget(pending)
+        content = {"error": "too few agents have confirmed the cancel", "job": job_id}
+        return Response(503, content, RETRY_AFTER_S)
+
     def _find_queue(self, environ: dict[str, Any]) -> tuple[QueueConfig, str]:
         config = self._feed.wait_for_config(FIRST_CONFIG_TIMEOUT_S)
         if config is None:
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -336,6 +336,15 @@
   failureDomains @1 :List(Text);
 }
 
+struct Cancelled {
+  number @0 :Int64;
+  jobIds @1 :List(Text);
+}
+
+struct CancelledSeen {
+  number @0 :Int64;
+}
+
 struct ConfigPiece {
   version @0 :Int64;
   offset @1 :Int64;
@@ -381,5 +390,7 @@
     configWanted @33 :ConfigWanted;
     configPiece @34 :ConfigPiece;
     evacuated @35 :Evacuated;
+    cancelled @36 :Cancelled;
+    cancelledSeen @37 :CancelledSeen;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -40,6 +40,8 @@
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a"], True, born=1_790_000_000_000),
     m.ConfigWanted(3, 4096),
     m.ConfigPiece(3, 4096, 4100, b"last"),
+    m.Cancelled(7, ["5c0e7a21d94b36f8", "91d2f04be87c35a6"]),
+    m.CancelledSeen(7),
     m.Gossip(
         0, 1, "a", "b", -1, 7, [m.MemberUpdate("a", "a", "entry", "x", "y", "f", ["s"], 8, 0, 1)]
     ),
