--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -225,12 +225,12 @@
         assert agent is not None
         until = self.time + grace_s
         process = self.process_of(name)
-        agent.begin_shutdown(until)
+        agent.shutdown.begin(until)
 
         def end_when_left() -> None:
             if process != self.process_of(name) or process not in self.alive:
                 return
-            if agent.is_drained() or self.time >= until:
+            if agent.shutdown.is_drained() or self.time >= until:
                 self.kill(process)
                 self.at(back_s, "", self.start_agent, name)
 
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -24,6 +24,7 @@
 )
 from ..metrics import Metrics
 from .agent_context import AgentContext, job_id_of
+from .agent_shutdown import AgentShutdown
 from .cancel_broadcast import CancelBroadcast
 from .config_feed import ConfigFeed
 from .config_transfer import ConfigTransfer
@@ -52,9 +53,6 @@
 MAINTENANCE_INTERVAL_S = REPORT_INTERVAL_S / 2
 """Interval between checks of entry leases and of due load reports while runs are active."""
 
-SHUTDOWN_GRACE_S = 0.05
-"""How long a drained agent still refuses assignments that are in flight, before it exits."""
-
 
 class Agent:
     """Runs tasks at one endpoint and reports to entries how their runs ended.
@@ -76,10 +74,15 @@
     clock : Clock
         Monotonic time and deferred calls.
 
+    Attributes
+    ----------
+    shutdown : AgentShutdown
+        Drains the agent when its process has to stop.
+
     Examples
     --------
     ``agent.on_report(report)`` handles a heartbeat of the endpoint, ``agent.run_loops()`` spawns
-    the background loops, ``agent.shut_down(deadline)`` drains the agent.
+    the background loops, ``agent.shutdown.run(deadline)`` drains the agent.
     """
 
     def __init__(
@@ -97,7 +100,6 @@
         self._evacuation_broadcast = EvacuationBroadcast(
             feed.evacuations, links, self._on_evacuations
         )
-        self._idle_since: float | None = None
         self.on_report_change: Callable[[EndpointReport | None], None] = lambda report: None
         self._stopper = RunStopper(ctx)
         ctx.cancel_broadcast = CancelBroadcast(links, metrics, clock, self._on_cancelled)
@@ -120,6 +122,7 @@
         )
         ctx.poller = EndpointPoller(driver, ctx.table, metrics, clock, ctx.lease_s, hooks)
         ctx.reporter = EntryReporter(links, clock, self._current_load, ctx.has_runs_of)
+        self.shutdown = AgentShutdown(ctx, self._starter, self._stopper, self._send_state)
         self._leases = ctx.reporter.leases
         links.on_open = self._on_open
         links.on_close = self._on_close
@@ -400,42 +403,3 @@
     def send_due_reports(self) -> None:
         """Send a load report to each entry for which one is due."""
         self._ctx.reporter.send_due_reports()
-
-    # Shutdown
-
-    def begin_shutdown(self, until: float) -> None:
-        """Accept only runs that can be expected to end before ``until``.
-
-        The endpoint stays in use, instead of idling beside its longest run.
-        """
-        self._ctx.shutting_down = True
-        self._ctx.shutdown_at = until
-        self.send_reports()
-
-    def is_drained(self) -> bool:
-        """Whether no run has been left for ``SHUTDOWN_GRACE_S``; none is accepted in that time."""
-        if self._ctx.table.runs or self._starter.replacing:
-            return False
-        now = self._ctx.clock.now()
-        if self._idle_since is None:
-            self._idle_since = now
-            self._ctx.shutdown_at = now
-            self._send_state()
-            self.send_reports()
-        return now - self._idle_since > SHUTDOWN_GRACE_S
-
-    def shut_down(self, until: float) -> None:
-        """Wait for runs to end, and stop those left at ``until`` so that they run elsewhere."""
-        self.begin_shutdown(until)
-        while not self.is_drained() and self._ctx.clock.now() < until:
-            gevent.sleep(0.02)
-        self._ctx.shutdown_at = self._ctx.clock.now()
-        self._send_state()
-        for key in list(self._ctx.table.runs):
-            self._stopper.stop(key, RunOutcome.STOPPED, "the agent shuts down")
-        self._stopper.send_due_stops()
-        last = self._ctx.clock.now() + 0.3
-        while (
-            self._ctx.table.runs or self._ctx.reporter.has_unacknowledged
-        ) and self._ctx.clock.now() < last:
-            gevent.sleep(0.02)
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -139,7 +139,7 @@
         base.links.dial(seed)
     gevent.spawn(_connect_entries, agent, directory, base)
     stopping.wait()
-    agent.shut_down(base.clock.now() + cfg.grace_s - GRACE_MARGIN_S)
+    agent.shutdown.run(base.clock.now() + cfg.grace_s - GRACE_MARGIN_S)
     base.close()
 
 
