Capacity that changes, and leases that count suspensions

Cause: a start that was accepted and scheduled went out over a capacity that had shrunk since; open grants and the headroom for late jobs kept the former capacity; a restarted agent filled the capacity of its announcement. Leases, fences and deadlines used CLOCK_MONOTONIC, which stands still while a machine is suspended, so that a resumed agent ran tasks that others had been given. Change: starts are checked against the newest capacity right before they are sent, grants and headroom follow it, and a restarted agent starts nothing before a heartbeat. The fakes can suspend a machine and change a capacity.

--- a/bench/leased_endpoint.py
+++ b/bench/leased_endpoint.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    capacity, told_capacity : Resources
+        Its capacity, and the one that its agent was told last.
     draining : bool
         Whether its heartbeats say that it drains.
     drain_heard_at : float or None
@@ -85,7 +87,7 @@
     def __init__(self, world: "World", name: str, capacity: Resources) -> None:
         self.world = world
         self.name = name
-        self.capacity = capacity
+        self.capacity = self.told_capacity = capacity
         self.born = int(world.time * 1000)
         self.speed = 1.0
         self.failing = False
@@ -114,6 +116,11 @@
             total = total.plus(run.need)
         return total
 
+    def set_speed(self, speed: float) -> None:
+        """Change its speed from now on."""
+        self.advance()
+        self.speed = speed
+
     def advance(self) -> None:
         """Bring runs up to the present, and end what is over."""
         now = self.world.time
@@ -164,7 +171,7 @@
         self.lease_until = max(self.lease_until, min(until, now + LONGEST_LEASE_S))
         self.active[task, run] = FakeRun(step.need, work, moved_at=now)
         self.world.starts += 1
-        if not self.capacity.fits(self.used()):
+        if not self.told_capacity.fits(self.used()):
             self.world.breaches.append(Breach("LIMIT", now, task))
         if self.drain_heard_at is not None and now > self.drain_heard_at + DRAIN_S:
             self.world.breaches.append(Breach("DRAIN", now, task))
--- a/bench/leased_links.py
+++ b/bench/leased_links.py
@@ -21,11 +21,18 @@
     """Virtual time for one process; its calls wait while it is frozen and go with its life."""
 
     def __init__(self, world: "World", process: str) -> None:
+        super().__init__()
         self._world = world
         self._process = process
 
     def now(self) -> float:
-        return self._world.time
+        return (
+            self._world.time
+            - self._world.clocks_stand_still * self._world.suspended_s[self._process]
+        )
+
+    def suspended_s(self) -> float:
+        return 0.0 if self._world.clocks_stand_still else self._world.suspended_s[self._process]
 
     def now_ms(self) -> int:
         return int(self._world.time * 1000)
@@ -40,15 +47,17 @@
 class FakeLinks:
     """Connections of one process; frames arrive in order, unless the pair is cut or reset."""
 
-    def __init__(self, world: "World", me: Hello) -> None:
+    def __init__(self, world: "World", me: Hello, clock: Clock) -> None:
         self.on_open: Callable[[Hello], None] = lambda hello: None
         self.on_close: Callable[[str], None] = lambda process: None
         self.on_message: Callable[[Message, str], None] = lambda msg, process: None
         self.me = me
         self.open: dict[str, int] = {}
+        self.opened_in: dict[str, int] = {}
         self.heard: dict[str, float] = {}
         self.renewed: dict[str, float] = {}
         self._world = world
+        self._clock = clock
 
     def processes(self) -> list[str]:
         return sorted(self.open)
@@ -62,11 +71,24 @@
 
     def take(self, sender: str, link: int, msg: Message) -> None:
         """Hand on a frame that came by the present connection."""
+        self.close_outdated()
         if self.open.get(sender) == link:
             self.heard[sender] = self._world.time
             self.on_message(msg, sender)
 
+    def suspensions(self) -> int:
+        """Number of suspensions that its process has noticed."""
+        return self._clock.suspensions()
+
+    def close_outdated(self) -> None:
+        """Close connections from before the last suspension; their other ends notice it."""
+        for process in list(self.open):
+            if self.opened_in[process] != self.suspensions():
+                self._world.at(ONE_WAY_S, "", self._world.close_end, process, self.me.process)
+                self.close(process)
+
     def close_idle(self) -> None:
+        self.close_outdated()
         for process in list(self.open):
             if self._world.time - self.heard[process] > IDLE_TIMEOUT_S:
                 self.close(process)
--- a/bench/leased_speed.py
+++ b/bench/leased_speed.py
@@ -64,6 +64,7 @@
     """Time that stands still but for the driver, which also makes the deferred calls."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.time = 100.0
         self.due: deque[tuple[Any, tuple[Any, ...]]] = deque()
 
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -88,6 +88,11 @@
     ended_at: float = field(default=0.0)
 
 
+def _is_frame(call: Callable[..., Any]) -> bool:
+    """Whether a call due is a frame on its way, and no timer of its receiver."""
+    return isinstance(getattr(call, "__self__", None), FakeLinks)
+
+
 class _EndNote:
     """Takes the place of a ticket's event, and notes when the job ended."""
 
@@ -113,6 +118,11 @@
     link_bytes_s : float
         What entries are told that their links carry; 0 for nothing.
 
+    Attributes
+    ----------
+    clocks_stand_still : bool
+        Whether clocks of processes leave out suspensions, as ``CLOCK_MONOTONIC`` does.
+
     Examples
     --------
     >>> world = World(agents=2, entries=1)
@@ -142,6 +152,8 @@
         self.wasted_runs = 0
         self.frames = 0
         self.frozen: set[str] = set()
+        self.suspended_s: dict[str, float] = defaultdict(float)
+        self.clocks_stand_still = False
         self.cut: set[frozenset[str]] = set()
         self.silent_links: set[int] = set()
         self.bytes_per_s: dict[str, float] = {}
@@ -208,7 +220,7 @@
         cfg = LeasedSettings("agent", name, machine.domain, f"{name}:1", "", service="s")
         me = Hello(PROTOCOL_VERSION, f"{name}.{machine.lives}", "agent", f"{name}:1")
         clock = FakeClock(self, me.process)
-        links = FakeLinks(self, me)
+        links = FakeLinks(self, me, clock)
         metrics = Metrics(Settings())
         driver = FakeDriver(self, machine)
         agent = Agent(cfg, driver, links, self._feed(clock), metrics, clock)  # type: ignore[arg-type]
@@ -247,7 +259,7 @@
         cfg = LeasedSettings("entry", name, node.domain, f"{name}:1", "")
         me = Hello(PROTOCOL_VERSION, f"{name}.{node.lives}", "entry", f"{name}:1")
         clock = FakeClock(self, me.process)
-        links = FakeLinks(self, me)
+        links = FakeLinks(self, me, clock)
         view = FleetView(lease_s(cfg), Random(me.process))
         metrics = Metrics(Settings())
         feed = self._feed(clock)
@@ -299,6 +311,27 @@
         self.frozen.add(process)
         self.at(seconds, "", self._thaw, process)
 
+    def suspend(self, name: str, seconds: float, with_endpoint: bool = False) -> None:
+        """Suspend the machine of an instance; frames and heartbeats wait until it resumes.
+
+        Its timers count only the time that it is awake. An endpoint on the same machine stands
+        still as well, and sends no heartbeats; its leases go on.
+        """
+        process = self.process_of(name)
+        self.freeze(process, seconds)
+        self.at(
+            seconds, "", self.suspended_s.update, {process: self.suspended_s[process] + seconds}
+        )
+        self._due = [
+            (at + seconds * (each == process and not _is_frame(call)), number, each, call, args)
+            for at, number, each, call, args in self._due
+        ]
+        heapq.heapify(self._due)
+        if with_endpoint:
+            endpoint = self.machines[name].endpoint
+            self.at(seconds, "", endpoint.set_speed, endpoint.speed)
+            endpoint.set_speed(0.0)
+
     def _thaw(self, process: str) -> None:
         self.frozen.discard(process)
         held, self._held[process] = self._held[process], []
@@ -380,6 +413,7 @@
                     del mine.open[process]
             mine.open[other.me.process] = self._count
             mine.heard[other.me.process] = self.time
+            mine.opened_in[other.me.process] = mine.suspensions()
         agent.on_open(entry.me)
         entry.on_open(agent.me)
 
@@ -400,6 +434,12 @@
             elif links.me.process == other and links.open.pop(one, None) is not None:
                 links.on_close(one)
 
+    def close_end(self, process: str, peer: str) -> None:
+        """Close a process's end of a connection whose other end was closed."""
+        for links in self._links():
+            if links.me.process == process:
+                links.close(peer)
+
     def reset(self, one: str, other: str) -> None:
         """Reset the connection of two instances; frames on their way are lost."""
         self._reset(self.process_of(one), self.process_of(other))
@@ -436,6 +476,7 @@
             if machine.agent is None or not agent_lives or not endpoint.up or frozen:
                 continue
             machine.sequence += 1
+            endpoint.told_capacity = endpoint.capacity
             machine.agent.on_report(self.report_of(machine, endpoint.draining))
             if endpoint.draining and endpoint.drain_heard_at is None:
                 endpoint.drain_heard_at = self.time
--- a/src/gentianmux/leased/admission_controller.py
+++ b/src/gentianmux/leased/admission_controller.py
@@ -41,6 +41,10 @@
         self._ctx = ctx
         self._no_agent_since: dict[str, float] = {}
 
+    def restart_waits(self) -> None:
+        """Wait anew for agents after a resume: they had no chance to connect before it."""
+        self._no_agent_since.clear()
+
     def decide(self, now: float) -> None:
         """Refuse jobs early that cannot be in time or that no agent serves.
 
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -43,7 +43,7 @@
     RunOutcome,
 )
 from .payloads import decode_payload
-from .resources import Resources
+from .resources import NO_RESOURCES, Resources
 from .run_monitor import RunMonitor
 from .run_starter import RunStarter
 from .run_stopper import RunStopper
@@ -111,7 +111,8 @@
             ctx.table,
             feed,
             metrics,
-            TrackerHooks(self._on_switched, self._on_report_changed),
+            clock,
+            TrackerHooks(self._on_switched, self._on_report_changed, self._on_capacity_changed),
         )
         hooks = PollerHooks(
             self._stopper.stop_expired,
@@ -176,6 +177,8 @@
         if self._endpoint_state() != before:
             self._send_state()
             self._ctx.reporter.schedule_report()
+            # Added capacity goes to those who wait, without another message of theirs.
+            self._ctx.reporter.offer_resources()
 
     def _on_switched(self, endpoint: str, finished: list[FinishedRun]) -> None:
         """Switch to another incarnation, or to none; nothing known of the last one is kept."""
@@ -187,12 +190,14 @@
         self._ctx.handle_finished(finished)
 
     def _on_report_changed(self, report: EndpointReport | None) -> None:
-        if report is not None:
-            self._ctx.reporter.grants.late_headroom = Resources(
-                int(report.capacity.cpu * LATE_HEADROOM_RATIO)
-            )
         self.on_report_change(report)
 
+    def _on_capacity_changed(self, capacity: Resources) -> None:
+        """Fit headroom and open grants to the capacity; offers follow with the next report."""
+        grants = self._ctx.reporter.grants
+        grants.late_headroom = Resources(int(capacity.cpu * LATE_HEADROOM_RATIO))
+        grants.shrink_to(self._ctx.table.resources.free)
+
     @property
     def is_accepting(self) -> bool:
         """Whether new runs may begin here."""
@@ -354,6 +359,8 @@
 
     def _endpoint_state(self) -> EndpointState:
         report = self.report
+        if report is not None and not self._ctx.tracker.is_confirmed:
+            report = report._replace(capacity=NO_RESOURCES)
         if report is None:
             return EndpointState(
                 "", self._ctx.cfg.service, self._ctx.cfg.failure_domain, 0, 0, 0, [], False
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -87,12 +87,18 @@
         report = self.report
         return report is not None and self.feed.evacuations.covers(report.failure_domain)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the endpoint has confirmed its state and its runs since the last resume."""
+        return self.tracker.is_confirmed and self.poller.is_confirmed
+
     @property
     def is_accepting(self) -> bool:
         """Whether new runs may begin here."""
         ready = self.report is not None and not self.report.draining and not self.is_evacuated
         return (
             ready
+            and self.is_confirmed
             and self.poller.is_responsive
             and self.table.is_reconciled
             and self.max_estimate_ms() > 0
@@ -108,9 +114,11 @@
         """Resources that new runs may use now."""
         if not self.is_accepting:
             return NO_RESOURCES
-        return self.health.offered(
-            self.table.resources.free, len(self.table.runs), self.clock.now()
-        )
+        free = self.table.resources.free
+        if min(free) < 0:
+            # The endpoint shrank below what it runs; what is left of other kinds has to wait too.
+            return NO_RESOURCES
+        return self.health.offered(free, len(self.table.runs), self.clock.now())
 
     def handle_finished(self, finished: list[FinishedRun]) -> None:
         """Report finished runs to their entries and update the endpoint's health."""
@@ -118,7 +126,9 @@
         for run, how in finished:
             ran_s = now - run.began
             if how in (RunOutcome.DONE, RunOutcome.FAILED):
-                ratio = ran_s * 1000 / max(1, run.estimate_ms) if how is RunOutcome.DONE else None
+                # A run time that includes a suspension does not tell how fast the endpoint is.
+                is_measured = how is RunOutcome.DONE and run.began >= self.clock.resumed_at
+                ratio = ran_s * 1000 / max(1, run.estimate_ms) if is_measured else None
                 self.health.ended(job_id_of(run.key[0]), how is RunOutcome.FAILED, ratio, now)
             self.metrics.count("runs_ended", label=how.name.lower())
             self.metrics.observe("run_seconds", ran_s, label=how.name.lower())
--- a/src/gentianmux/leased/endpoint_poller.py
+++ b/src/gentianmux/leased/endpoint_poller.py
@@ -49,7 +49,8 @@
         Called with its start time, in Unix milliseconds, when a later incarnation of the same
         endpoint answers.
     on_polled : callable
-        Called with the runs that ended, and whether ``RunTable.is_reconciled`` has changed.
+        Called with the runs that ended, and whether ``RunTable.is_reconciled`` or
+        ``EndpointPoller.is_confirmed`` has changed.
     on_unanswered : callable
         Called for each unanswered poll, with whether the endpoint has just become unresponsive.
     """
@@ -111,8 +112,14 @@
         self._hooks = hooks
         self._unanswered_polls = 0
         self._answered_at = 0.0
+        self._answered_in = clock.suspensions()
         self._attached = Event()
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the endpoint has answered a poll that was sent since the last resume."""
+        return self._answered_in == self._clock.suspensions()
+
     def attach(self, endpoint: str) -> None:
         """Poll another incarnation of the endpoint from now on."""
         self.incarnation += 1
@@ -141,10 +148,12 @@
         reconciled = self._table.is_reconciled
         answered_recently = self._clock.now() - self._last_answer_at() < RENEWAL_GRACE_S
         # Leases of runs that an earlier agent started are not renewed: those runs have to end.
-        renew_s = self._renewal_s() if reconciled and answered_recently else 0.0
+        is_known = reconciled and answered_recently and self.is_confirmed
+        renew_s = self._renewal_s() if is_known else 0.0
         wait_s = self._wait_s()
         timeout_s = wait_s + POLL_TIMEOUT_MARGIN_S
         incarnation = self.incarnation
+        suspensions = self._clock.suspensions()
         try:
             reply = self._driver.hold(self._acknowledged, wait_s, renew_s, timeout_s)
         except EndpointGone:
@@ -158,7 +167,7 @@
                 self._on_unanswered(str(exc))
             return False
         else:
-            self._apply_reply(reply, incarnation)
+            self._apply_reply(reply, incarnation, suspensions)
         return True
 
     def _renewal_s(self) -> float:
@@ -192,13 +201,14 @@
         if not self.endpoint:
             return
         incarnation = self.incarnation
+        suspensions = self._clock.suspensions()
         try:
             reply = self._driver.hold(self._acknowledged, 0.0, 0.0, POLL_TIMEOUT_MARGIN_S)
         except (EndpointGone, EndpointStartedAgain, NoAnswer) as exc:
             # The poll that waits gets the same answer and handles it.
             self._metrics.count("endpoint_silences", label=type(exc).__name__)
         else:
-            self._apply_reply(reply, incarnation)
+            self._apply_reply(reply, incarnation, suspensions)
 
     def _on_unanswered(self, reason: str) -> None:
         self._metrics.count("endpoint_silences")
@@ -209,7 +219,7 @@
             self.is_responsive = False
         self._hooks.on_unanswered(became_silent)
 
-    def _apply_reply(self, reply: HoldReply, incarnation: int) -> None:
+    def _apply_reply(self, reply: HoldReply, incarnation: int, suspensions: int) -> None:
         if incarnation != self.incarnation or reply.asked_at < self._answered_at:
             # From an earlier incarnation, which numbers ended runs from 1 as well, or older than a
             # reply already applied: runs that it lists may have ended since.
@@ -219,6 +229,8 @@
         self.is_responsive = True
         self._unanswered_polls = 0
         self._answered_at = reply.asked_at
-        was_reconciled = self._table.is_reconciled
+        was_known = self._table.is_reconciled, self.is_confirmed
+        self._answered_in = suspensions
         finished = self._table.apply_poll(reply, self._clock.now())
-        self._hooks.on_polled(finished, self._table.is_reconciled != was_reconciled)
+        is_known = self._table.is_reconciled, self.is_confirmed
+        self._hooks.on_polled(finished, is_known != was_known)
--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -5,15 +5,23 @@
 
 from loguru import logger
 
+from ..clock import Clock
 from ..codes import ResultCode
 from ..metrics import Metrics
 from .config_feed import ConfigFeed
 from .heartbeat_kind import HeartbeatKind, classify_heartbeat
 from .model import EndpointDriver, EndpointReport
-from .resources import NO_RESOURCES
+from .resources import NO_RESOURCES, Resources
 from .run_table import FinishedRun, RunTable
 from .settings import LeasedSettings
 
+ANNOUNCED_SEQUENCE = 0
+"""Number of a report that was read from an announcement; heartbeats count from 1."""
+
+SETTLE_S = 0.1
+"""Seconds after a resume in which a heartbeat may have been sent before the suspension: it waited
+in a socket, and the event loop reads all of those in its first rounds."""
+
 MAX_LOGGED_WRITERS = 100
 """Senders of unreadable heartbeats that are remembered, so that each is logged once."""
 
@@ -35,10 +43,13 @@
     on_report_changed : callable
         Called with the first heartbeat of an incarnation and with each that changes whether it
         drains, and with None when the endpoint is gone.
+    on_capacity_changed : callable
+        Called with the capacity of each heartbeat that changes it.
     """
 
     on_switched: Callable[[str, list[FinishedRun]], None]
     on_report_changed: Callable[[EndpointReport | None], None]
+    on_capacity_changed: Callable[[Resources], None]
 
 
 class EndpointTracker:
@@ -59,6 +70,8 @@
         Newest configuration, which names the services.
     metrics : Metrics
         Counters and histograms.
+    clock : Clock
+        Notices that the machine was suspended.
     hooks : TrackerHooks
         Callbacks.
 
@@ -82,6 +95,7 @@
         table: RunTable,
         feed: ConfigFeed,
         metrics: Metrics,
+        clock: Clock,
         hooks: TrackerHooks,
     ) -> None:
         self.report: EndpointReport | None = None
@@ -91,6 +105,8 @@
         self._table = table
         self._feed = feed
         self._metrics = metrics
+        self._clock = clock
+        self._confirmed_in = clock.suspensions()
         self._hooks = hooks
         self._newest: EndpointReport | None = None
         self._tracked_id = ""
@@ -98,6 +114,19 @@
         self._departed: tuple[str, int] | None = None
         self._unreadable_writers: set[str] = set()
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a heartbeat of this incarnation has confirmed the report since the last resume.
+
+        The capacity and the state in an announcement, or from before a suspension of the machine,
+        may be outdated: the endpoint may have shrunk or begun to drain.
+        """
+        return (
+            self.report is not None
+            and self.report.sequence != ANNOUNCED_SEQUENCE
+            and self._confirmed_in == self._clock.suspensions()
+        )
+
     def handle_heartbeat(self, report: EndpointReport) -> None:
         """Classify a heartbeat, and accept it, skip it or switch to its incarnation."""
         kind = classify_heartbeat(report, self._newest)
@@ -256,7 +285,7 @@
             # Known so far from an announcement that does not carry the start.
             self._driver.attach(report)
         self.report = self._newest = report
-        self._table.resources.capacity = report.capacity
+        self._apply_capacity(report)
         if known is not None and report.draining == known.draining:
             return
         event = "endpoint drains" if report.draining else "endpoint is ready again"
@@ -267,16 +296,35 @@
         self._log_report(report, "endpoint found")
         if kind is HeartbeatKind.RESTARTED:
             finished = self._table.begin_incarnation()
-            self._table.resources.capacity = report.capacity
         else:
             finished = self._table.mark_all_lost()
-            self._table.reset(report.capacity)
+            self._table.reset(NO_RESOURCES)
+        self._apply_capacity(report)
         self.report = self._newest = report
         self._tracked_id = report.endpoint
         self._driver.attach(report)
         self._notify_switched(finished)
         self._hooks.on_report_changed(report)
 
+    def _apply_capacity(self, report: EndpointReport) -> None:
+        """Apply the capacity of the newest heartbeat; it may be below what runs at present."""
+        suspensions = self._clock.suspensions()
+        if self._clock.now() - self._clock.resumed_at >= SETTLE_S:
+            self._confirmed_in = suspensions
+        resources = self._table.resources
+        before = resources.capacity
+        if report.capacity == before:
+            return
+        resources.capacity = report.capacity
+        logger.bind(
+            endpoint=report.endpoint,
+            sequence=report.sequence,
+            before=before,
+            capacity=report.capacity,
+            used=resources.used,
+        ).info("endpoint capacity changed")
+        self._hooks.on_capacity_changed(report.capacity)
+
     def _log_report(self, report: EndpointReport, event: str) -> None:
         logger.bind(
             endpoint=report.endpoint,
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -101,6 +101,7 @@
         self.shutting_down = False
         self._shutdown_at = float("inf")
         self._idle_since: float | None = None
+        self._suspensions = clock.suspensions()
         links.on_open = self._on_open
         links.on_close = self._on_close
         links.on_message = self.on_message
@@ -277,6 +278,7 @@
 
     def tick(self) -> None:
         """End jobs at their deadlines, decide waiting jobs, and place tasks."""
+        self._check_suspension()
         now = self._ctx.clock.now()
         for handle in list(self._ctx.jobs.values()):
             if now >= handle.job.deadline:
@@ -286,6 +288,14 @@
             self._admission_controller.decide(now)
             self._placer.place()
 
+    def _check_suspension(self) -> None:
+        """After a resume, start over with connections and with the wait for an agent."""
+        suspensions = self._ctx.clock.suspensions()
+        if suspensions != self._suspensions:
+            self._suspensions = suspensions
+            self._ctx.links.close_idle()
+            self._admission_controller.restart_waits()
+
     def _adjust_window(self, now: float) -> None:
         window = self._ctx.window
         before = window.limit
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -276,7 +276,11 @@
         """Cores of announced agents that have not reported yet."""
         if not self._expected:
             return 0.0
-        reported = {instance_of(agent.process) for agent in self._order if agent.state is not None}
+        reported = {
+            instance_of(agent.process)
+            for agent in self._order
+            if agent.state is not None and agent.state.cpu
+        }
         self._expected = {
             node: each
             for node, each in self._expected.items()
--- a/src/gentianmux/leased/grants.py
+++ b/src/gentianmux/leased/grants.py
@@ -103,6 +103,20 @@
         """Release what is left of an entry's grant after an assignment."""
         self._grants.pop(entry, None)
 
+    def shrink_to(self, free: Resources) -> set[str]:
+        """Revoke the grants that no longer fit after the endpoint shrank; return their entries.
+
+        Grants that were made first are the more urgent ones and are kept.
+        """
+        left, revoked = _clamp_to_zero(free), set()
+        for entry, grant in list(self._grants.items()):
+            if left.fits(grant.resources):
+                left = left.minus(grant.resources)
+            else:
+                del self._grants[entry]
+                revoked.add(entry)
+        return revoked
+
     @property
     def is_contended(self) -> bool:
         """Whether any entry waits for resources."""
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -20,6 +20,9 @@
 from .model import instance_of
 from .settings import LeasedSettings
 
+SUSPENDED = "the machine was suspended"
+"""Reason for which a connection is closed after a resume."""
+
 CONNECT_TIMEOUT_S = 0.5
 """Shorter than the kernel's first SYN retransmission, which follows after 1 s."""
 
@@ -92,6 +95,7 @@
         self._key = cfg.peer_key.encode()
         self._open: dict[str, Conn] = {}
         self._last_frame_at: dict[str, float] = {}
+        self._opened_in: dict[str, int] = {}
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._reconnected_at: dict[str, float] = {}
         listener = (listeners or Listeners()).take(cfg.peer_address)
@@ -215,11 +219,13 @@
             if same_instance or old.address == hello.address:
                 # A newer connection or incarnation replaces the older one.
                 del self._open[process]
+                self._opened_in.pop(process, None)
                 old.close()
                 if process != hello.process:
                     self.on_close(process)
         self._open[hello.process] = conn
         self._last_frame_at[hello.process] = self._clock.now()
+        self._opened_in[hello.process] = self._clock.suspensions()
         conn.open()
         logger.bind(peer=hello.process, role=hello.role).info("peer connected")
         self.on_open(hello)
@@ -231,6 +237,9 @@
             for body in frames:
                 if conn.closed:
                     break
+                if self._is_outdated(conn.process):
+                    reason = SUSPENDED
+                    break
                 self._last_frame_at[conn.process] = self._clock.now()
                 self.on_message(decode(body), conn.process)
         except FrameError as exc:
@@ -253,15 +262,27 @@
         if self._open.get(conn.process) is conn:
             del self._open[conn.process]
             self._reconnected_at.pop(conn.process, None)
+            self._opened_in.pop(conn.process, None)
             logger.bind(peer=conn.process, reason=reason).warning("peer lost")
             self.on_close(conn.process)
 
+    def _is_outdated(self, process: str) -> bool:
+        return self._opened_in.get(process) != self._clock.suspensions()
+
     def close_idle(self) -> None:
-        """Close connections without a frame for ``IDLE_TIMEOUT_S``; dialers open them again."""
+        """Close connections that are idle, or were opened before the machine was suspended.
+
+        Idle ones had no frame for ``IDLE_TIMEOUT_S``. On the others, frames may have waited for the
+        resume and tell what was true before it. Dialers open them again, each side then sends its
+        present state, and what was lost is sent again or withdrawn.
+        """
         now = self._clock.now()
         for process in list(self._open):
-            if now - self._last_frame_at[process] > IDLE_TIMEOUT_S:
-                self.disconnect(process, f"silent for {now - self._last_frame_at[process]:.1f} s")
+            silent_s = now - self._last_frame_at[process]
+            if self._is_outdated(process):
+                self.disconnect(process, SUSPENDED)
+            elif silent_s > IDLE_TIMEOUT_S:
+                self.disconnect(process, f"silent for {silent_s:.1f} s")
 
     def send(self, process: str, msg: Message) -> bool:
         """Queue a message; false when it is certain not to be sent."""
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from ..clock import Clock, run_periodically
+from ..clock import Clock, log_fallback, run_periodically
 from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..http_server import HttpServer
@@ -20,6 +20,7 @@
 from ..settings import Settings
 from .config_feed import ConfigFeed, ConfigSource
 from .directory import Announcement, Directory
+from .endpoint_tracker import ANNOUNCED_SEQUENCE
 from .links import Links
 from .model import EndpointDriver, EndpointReport
 from .settings import LeasedSettings, lease_s
@@ -73,6 +74,7 @@
     ) -> None:
         self.cfg = cfg
         self.clock = Clock()
+        log_fallback()
         self.metrics = Metrics(Settings(name=cfg.name))
         self.store = store
         self.feed = ConfigFeed(source, store, self.metrics, self.clock)
@@ -127,7 +129,11 @@
     directory = Directory(base.store, base.metrics)
 
     def announce(report: EndpointReport | None) -> None:
-        stable = None if report is None else report._replace(sequence=0, drain_remaining_s=0.0)
+        stable = (
+            None
+            if report is None
+            else report._replace(sequence=ANNOUNCED_SEQUENCE, drain_remaining_s=0.0)
+        )
         directory.announce(Announcement(cfg.name, cfg.role, cfg.peer_address, stable))
 
     agent.on_report_change = announce
@@ -156,12 +162,16 @@
 def _resume_endpoint(
     agent: "Agent", announcements: list[Announcement], cfg: LeasedSettings
 ) -> None:
-    """Resume the endpoint announced before a restart, without waiting for a heartbeat."""
+    """Resume the endpoint announced before a restart, without waiting for a heartbeat.
+
+    The agent fences off the earlier process and stops its runs at once, but starts none before a
+    heartbeat has confirmed the capacity and that the endpoint does not drain.
+    """
     if agent.report is not None:
         return
     own = [each.report for each in announcements if each.name == cfg.name]
     if own and own[0] is not None:
-        agent.on_report(own[0])
+        agent.on_report(own[0]._replace(sequence=ANNOUNCED_SEQUENCE))
     else:
         agent.on_report_change(None)
 
--- a/src/gentianmux/leased/resources.py
+++ b/src/gentianmux/leased/resources.py
@@ -1,5 +1,7 @@
 """Resource amounts, and the resources of an endpoint that its runs hold."""
 
+from collections.abc import Iterable
+from functools import reduce
 from typing import NamedTuple
 
 
@@ -46,6 +48,11 @@
 NO_RESOURCES = Resources()
 
 
+def sum_of(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum of several amounts."""
+    return reduce(Resources.plus, amounts, NO_RESOURCES)
+
+
 class ResourcePool:
     """Resources of one endpoint, allocated before a start and released once the run has ended.
 
--- a/src/gentianmux/leased/run_monitor.py
+++ b/src/gentianmux/leased/run_monitor.py
@@ -2,7 +2,7 @@
 
 from .agent_context import AgentContext
 from .model import RunOutcome
-from .progress import SLOW_FACTOR
+from .progress import SLOW_FACTOR, STALL_TIMEOUT_S
 from .run_stopper import RunStopper
 from .run_table import Phase, Run
 
@@ -36,7 +36,10 @@
         """Stop stalled runs, and eject the endpoint while most of its runs are slow."""
         now = self._ctx.clock.now()
         running = [run for run in self._ctx.table.runs.values() if run.phase is Phase.RUNNING]
-        stalled = [run for run in running if run.progress.is_stalled(now)]
+        resumed_at = self._ctx.clock.resumed_at
+        # A run makes no progress while its machine is suspended, and its rate counts that time.
+        is_settled = now - resumed_at > STALL_TIMEOUT_S
+        stalled = [run for run in running if is_settled and run.progress.is_stalled(now)]
         for run in stalled:
             self._stopper.stop(
                 run.key, RunOutcome.STALLED, f"no progress beyond {run.progress.percent:.0f} %"
@@ -44,7 +47,7 @@
         if stalled:
             self._ctx.metrics.count("runs_stalled", len(stalled))
             self._ctx.health.stalled(len(stalled), now)
-        slow = [run for run in running if self._is_slow(run, now)]
+        slow = [run for run in running if run.began >= resumed_at and self._is_slow(run, now)]
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self._ctx.health.eject(now)
         if self._ctx.health.is_ejected(now):
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -125,9 +125,10 @@
         if key not in self._ctx.table.runs:
             return
         run = self._ctx.table.runs[key]
-        if run.carried_over or not self._ctx.reporter.leases.holds(run.entry, now):
-            # The endpoint restarted, or this process was paused since it accepted the run: there
-            # may be fewer resources, and the task may be running elsewhere.
+        has_lease = self._ctx.reporter.leases.holds(run.entry, now)
+        if run.carried_over or not has_lease or not self._ctx.is_confirmed:
+            # The endpoint restarted, or this process was paused or its machine suspended since it
+            # accepted the run: there may be fewer resources, and the task may run elsewhere.
             self._end_refused(key, RunOutcome.NOT_STARTED)
             return
         if self._ctx.is_evacuated:
@@ -138,6 +139,17 @@
             # A start renews the lease of every run at the endpoint, and one of them has to end.
             self._end_refused(key, RunOutcome.NOT_STARTED)
             return
+        if not self._ctx.table.can_start(key):
+            logger.bind(
+                task=task.name,
+                run=task.run,
+                cpu=run.need.cpu,
+                capacity=self._ctx.table.resources.capacity,
+                used=self._ctx.table.resources.used,
+            ).info("start dropped, the endpoint shrank")
+            self._end_refused(key, RunOutcome.NO_ROOM)
+            return
+        run.start_sent = True
         result = self._ctx.driver.start(task.name, task.run, payload, lease_s, now)
         now = self._ctx.clock.now()
         if result is StartResult.STARTED:
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -8,7 +8,7 @@
 
 from .model import HoldReply, RunOutcome
 from .progress import RunProgress
-from .resources import ResourcePool, Resources
+from .resources import ResourcePool, Resources, sum_of
 
 RunKey = tuple[str, int]
 """Name of a task and number of its run."""
@@ -36,6 +36,8 @@
     ----------
     listed : bool
         Whether a poll has shown it as active.
+    start_sent : bool
+        Whether its start was sent to the endpoint; until then it is accepted only.
     carried_over : bool
         Whether it was started before the endpoint restarted: it may have run, and ended then.
     lease_limit : float
@@ -55,6 +57,7 @@
     carried_over: bool = False
     missing_polls: int = 0
     lease_limit: float = inf
+    start_sent: bool = False
     progress: RunProgress = field(default_factory=lambda: RunProgress(0.0))
 
     @property
@@ -142,6 +145,17 @@
         """Runs that an entry assigned."""
         return [run for run in self.runs.values() if run.entry == entry]
 
+    def can_start(self, key: RunKey) -> bool:
+        """Whether an accepted run fits the capacity beside all runs whose start was sent.
+
+        The capacity may have shrunk since it was accepted.
+        """
+        capacity = self.resources.capacity
+        if capacity.fits(self.resources.used):
+            return True
+        present = [r.need for r in self.runs.values() if r.start_sent or r.key == key]
+        return capacity.fits(sum_of(present))
+
     def started(self, key: RunKey, now: float) -> None:
         """Record that the endpoint confirmed a start."""
         run = self.runs.get(key)
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -1,11 +1,11 @@
 """Client of an agent's endpoint in the platform's protocol."""
 
 import json
-from time import monotonic
 from typing import Any
 
 from loguru import logger
 
+from ..clock import boot_time, suspended_s
 from ..leased.entry_leases import CLOCK_DRIFT_RATIO
 from ..leased.model import (
     ActiveRun,
@@ -117,7 +117,7 @@
     Examples
     --------
     ``endpoint.attach(report)``, then ``endpoint.hold(0, 0.1, 0.5, 1.0)`` renews leases and lists
-    the runs; ``endpoint.start("task", 1, payload, 0.5, monotonic())`` starts one.
+    the runs; ``endpoint.start("task", 1, payload, 0.5, boot_time())`` starts one.
     """
 
     def __init__(self, address: str, stop_s: float) -> None:
@@ -177,8 +177,11 @@
             return None
 
     def lease_end(self) -> float:
-        """Monotonic time at which every lease requested so far has expired."""
-        return self._lease_end
+        """Monotonic time at which every lease requested so far has expired.
+
+        An endpoint's clock may stand still while the machine is suspended, and its leases with it.
+        """
+        return self._lease_end + suspended_s()
 
     def start(
         self, task: str, run: int, payload: str, lease_s: float, asked_at: float
@@ -221,7 +224,7 @@
     def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
         """Renew the lease of all runs (none if ``lease_s`` is 0) and wait for a run to end."""
         # Taken first: the lease must not begin later than its caller has decided on it.
-        asked_at = monotonic()
+        asked_at = boot_time()
         if not self._fence:
             self._acquire_fence()
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
@@ -264,10 +267,16 @@
         self._fence = max(int(self._clock_ms), self._lowest_fence)
 
     def _lease_until_ms(self, lease_s: float, asked_at: float) -> int:
+        """End of a lease on the endpoint's clock, which may leave out suspensions.
+
+        Times are compared without them: a lease then ends too early where the endpoint's clock
+        counts suspensions, and on time where it does not.
+        """
+        awake_at = asked_at - suspended_s()
         self._lease_end = max(
-            self._lease_end, asked_at + lease_s * CLOCK_DRIFT_RATIO + self._stop_s
+            self._lease_end, awake_at + lease_s * CLOCK_DRIFT_RATIO + self._stop_s
         )
-        return int(self._clock_ms + (asked_at - self._clock_at) * 1000 + lease_s * 1000)
+        return int(self._clock_ms + (awake_at - self._clock_at) * 1000 + lease_s * 1000)
 
     def _call(
         self, client: HttpClient, path: str, content: dict[str, Any], timeout_s: float
@@ -279,7 +288,7 @@
         if reply.body and reply.status != REPLACED_STATUS and attach_count == self._attach_count:
             clock_ms = reply.json().get("clock_ms")
             if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
-                self._clock_ms, self._clock_at = float(clock_ms), monotonic()
+                self._clock_ms, self._clock_at = float(clock_ms), boot_time() - suspended_s()
         return reply
 
 
--- a/src/gentianmux/sample_endpoint.py
+++ b/src/gentianmux/sample_endpoint.py
@@ -2,12 +2,12 @@
 
 import json
 from collections.abc import Callable, Iterable
-from time import monotonic
 from typing import Any
 
 import gevent
 from gevent.event import Event
 
+from .clock import boot_time
 from .json_reply import StartResponse, json_reply
 
 Journal = Callable[[dict[str, Any]], None]
@@ -69,7 +69,7 @@
         selected = [self._running[each] for each in body.get("tasks", ()) if each in self._running]
         if path == "/v1/lease":
             for each in selected:
-                each.lease_expires_at = monotonic() + body["lease_ms"] / 1000
+                each.lease_expires_at = boot_time() + body["lease_ms"] / 1000
         elif path == "/v1/stop":
             for each in selected:
                 each.stop.set()
@@ -81,7 +81,7 @@
         name = body["task"]
         if len(self._running) >= self._slots:
             return json_reply(start_response, 429, {"error": "no free slot"})
-        running = _Running(monotonic() + body["lease_ms"] / 1000)
+        running = _Running(boot_time() + body["lease_ms"] / 1000)
         self._running[name] = running
         self._journal({"event": "start", "task": name})
         status, content = self._work(running, body)
@@ -94,8 +94,8 @@
         instructions = _parse_instructions(body["payload"])
         if self.fail_all or instructions.get("fail"):
             return 500, {"error": "told to fail"}
-        until = monotonic() + float(instructions.get("ms", 0)) * self.slowness / 1000
-        while (now := monotonic()) < until:
+        until = boot_time() + float(instructions.get("ms", 0)) * self.slowness / 1000
+        while (now := boot_time()) < until:
             if now >= running.lease_expires_at:
                 return 410, {"error": "lease lapsed"}
             if running.stop.wait(
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -8,7 +8,6 @@
 from contextlib import contextmanager
 from pathlib import Path
 from random import Random
-from time import monotonic
 
 import gevent
 import pytest
@@ -19,6 +18,7 @@
 
 from bench.leased_endpoint import Work
 from bench.leased_world import World
+from gentianmux.clock import boot_time
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.directory import Announcement, decode_announcement
 from gentianmux.leased.fleet_view import PlacementRequest
@@ -535,7 +535,7 @@
         assert driver.is_present(report_of(app)._replace(born=app.born - 9)) is False
         driver.attach(report_of(app))
         assert driver.hold(0, 0.0, 0.5, 1.0).active == ()
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.STARTED
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.STARTED
         assert [run.task for run in driver.hold(0, 0.0, 0.5, 1.0).active] == ["t"]
 
 
@@ -578,7 +578,7 @@
             driver.hold(0, 0.0, 0.0, 1.0)
         driver.hold(0, 0.0, 0.0, 1.0)
         # Sent 0.4 s after it was decided, under a lease of 0.2 s, so it is refused.
-        verdict = driver.start("t", 2, SPEC, 0.2, monotonic() - 0.4)
+        verdict = driver.start("t", 2, SPEC, 0.2, boot_time() - 0.4)
         assert verdict is StartResult.REFUSED
 
 
@@ -615,7 +615,7 @@
                 break
             except NoAnswer:
                 continue
-        assert driver.start("t", 2, SPEC, 0.5, monotonic()) is StartResult.STARTED
+        assert driver.start("t", 2, SPEC, 0.5, boot_time()) is StartResult.STARTED
 
 
 @pytest.mark.parametrize("body, born", [(b"", 0), (b"{}", 0), (b'{"born": 12}', 12)])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,7 +3,6 @@
 import json
 import math
 from pathlib import Path
-from time import monotonic
 
 import gevent
 import pytest
@@ -11,6 +10,7 @@
 from hypothesis import strategies as st
 from platform_deployment import CONFIG, served
 
+from gentianmux.clock import boot_time
 from gentianmux.codes import ResultCode
 from gentianmux.errors import GentianmuxError, LogError
 from gentianmux.leased.model import EndpointGone, NoAnswer, RunOutcome, StartResult
@@ -213,12 +213,12 @@
         driver = PlatformEndpoint(address, 0.05)
         driver.attach(report_of())
         driver.hold(0, 0.0, 0.5, 1.0)
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.STARTED
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.STARTED
         assert [run.task for run in driver.hold(0, 0.0, 0.5, 1.0).active] == ["t"]
         ended = driver.hold(0, 1.0, 0.5, 2.0).ended
         assert [(row.task, row.how) for row in ended] == [("t", RunOutcome.DONE)]
         assert driver.hold(ended[0].number, 0.0, 0.5, 1.0).ended == ()
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.OLD_RUN
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.OLD_RUN
 
 
 def test_later_agent_fences_off_an_earlier_one() -> None:
@@ -230,8 +230,8 @@
         gevent.sleep(0.05)
         later.attach(report_of())
         later.hold(0, 0.0, 0.5, 1.0)
-        assert earlier.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.REFUSED
-        assert later.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.STARTED
+        assert earlier.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.REFUSED
+        assert later.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.STARTED
 
 
 def test_stop_prevents_a_start_in_flight() -> None:
@@ -242,7 +242,7 @@
         driver = PlatformEndpoint(address, 0.05)
         driver.attach(report_of())
         driver.hold(0, 0.0, 0.5, 1.0)
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.NO_ANSWER
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.NO_ANSWER
         assert driver.stop("t", 1)
         gevent.sleep(0.2)
         assert app.active() == []
@@ -255,7 +255,7 @@
         driver.attach(report_of("i-1"))
         with pytest.raises(EndpointGone):
             driver.hold(0, 0.0, 0.5, 1.0)
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.REPLACED
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.REPLACED
 
 
 def test_probe_identifies_the_endpoint_without_side_effects() -> None:
@@ -267,7 +267,7 @@
         fence = app.fence
         assert driver.is_present(report_of("i-2")) is True
         assert driver.is_present(report_of("i-1")) is False
-        assert driver.start("t", 1, SPEC, 0.5, monotonic()) is StartResult.STARTED
+        assert driver.start("t", 1, SPEC, 0.5, boot_time()) is StartResult.STARTED
         assert app.fence == fence
     assert driver.is_present(report_of("i-2")) is None
 
@@ -278,7 +278,7 @@
         driver = PlatformEndpoint(address, 0.05)
         driver.attach(report_of())
         driver.hold(0, 0.0, 0.3, 1.0)
-        driver.start("t", 1, json.dumps({"ms": 5000}), 0.3, monotonic())
+        driver.start("t", 1, json.dumps({"ms": 5000}), 0.3, boot_time())
         gevent.sleep(0.5)
         (row,) = driver.hold(0, 0.0, 0.0, 1.0).ended
         assert row.how is RunOutcome.LOST
