Draining test: a refusal's reason and the log lines around it are kept

Cause: the test of an endpoint that drains failed once with 503 not_run, and neither the reason in the answer nor the decisions were kept. Change: the failure output holds the answer and the lines of all logs about the job, endpoints, connections and polls. The assertions are the same.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -176,6 +176,11 @@
         """Output of the process of an instance."""
         return (self.folder / f"{name}.log").read_text()
 
+    def log_lines(self, *words: str) -> str:
+        """Lines of all logs that hold one of some words, to explain a failure by them."""
+        lines = [line for name in self.processes for line in self.log_of(name).splitlines()]
+        return "\n".join(line for line in lines if any(word in line for word in words))
+
     def stop(self) -> None:
         """Stop all processes and servers."""
         self._heartbeats.kill()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -165,7 +165,9 @@
     gevent.sleep(0.6)
     before = len(deployment.endpoints["side-0"].starts)
     for number in range(4):
-        assert deployment.submit(f"000000000000013{number}", job_body()) == (200, COMPLETED)
+        job_id = f"000000000000013{number}"
+        answer = deployment.submit(job_id, job_body())
+        assert answer == (200, COMPLETED), deployment.log_lines(job_id, "endpoint", "peer", "poll")
     assert len(deployment.endpoints["side-0"].starts) == before
 
 
