--- a/tests/test_leased_links.py
+++ b/tests/test_leased_links.py
@@ -70,6 +70,34 @@
         relay.stop()
 
 
+class SettableClock(Clock):
+    """Clock of a machine that a test suspends."""
+
+    asleep_s = 0.0
+
+    def suspended_s(self) -> float:
+        return self.asleep_s
+
+
+def test_frames_on_a_connection_from_before_a_suspension_are_dropped() -> None:
+    """Guards against frames that waited in a socket and tell what was true before the resume."""
+    with links_of("entry", "e") as (entry, _), links_of("agent", "a") as (agent, received):
+        clock = agent._clock = SettableClock()
+        agent.dial(entry._identity.address)
+        wait_for(lambda: entry.processes() == ["a.1"] and agent.processes() == ["e.1"])
+        entry.send("a.1", LoadEcho(1, 1, False, []))
+        wait_for(lambda: len(received) == 1)
+        entry.send("a.1", LoadEcho(2, 1, False, []))
+        clock.asleep_s = 2.0
+        wait_for(lambda: not agent.processes())
+        wait_for(lambda: entry.processes() == ["a.1"] and agent.processes() == ["e.1"])
+        wait_for(lambda: entry.send("a.1", LoadEcho(3, 1, False, [])) and len(received) > 1)
+        assert LoadEcho(2, 1, False, []) not in received
+        clock.asleep_s = 4.0
+        agent.close_idle()
+        assert not agent.processes()
+
+
 def test_idle_connections_are_closed_after_repeated_failures() -> None:
     def app(environ: dict, start_response: object) -> list[bytes]:
         gevent.sleep(0.02)
--- a/tests/test_leased_units.py
+++ b/tests/test_leased_units.py
@@ -333,6 +333,18 @@
     assert view.capacity_cpu("s", 12.1) == 16.0
 
 
+def test_restarted_agent_counts_as_announced_until_its_capacity_is_confirmed() -> None:
+    """Guards against refusals after a restart of all agents, whose heartbeats come 1.5 s later."""
+    view = FleetView(0.55, Random(1))
+    view.expect_agent("w1", "s", "fd1", 16000, 10.0)
+    agent = view.get_or_add("w1.5")
+    agent.state = EndpointState("x", "s", "fd", 0, 0, 0, [], False)
+    agent.apply_report(AgentLoad(1, 0, 0, 0, 0, 100, 1, 1, 9000), 10.2)
+    assert view.capacity_cpu("s", 10.3) == 16.0
+    agent.state = EndpointState("x", "s", "fd", 3200, 1000, 0, [], True)
+    assert view.capacity_cpu("s", 10.3) == 3.2
+
+
 def test_a_stopping_agent_gets_only_runs_that_can_end() -> None:
     view = FleetView(0.55, Random(1))
     agent = view.get_or_add("w1.5")
