Suspensions: order of clock readings, and the check at a request

Cause: a process that is paused between the readings of two clocks measured a suspension too small, and could ask a lease that begins after the pause. A job that is submitted right after a resume was placed before the first check. Change: the clocks are read in the other order, the endpoint's clock is noted in awake time, and submit checks for a suspension.

--- a/src/gentianmux/clock.py
+++ b/src/gentianmux/clock.py
@@ -35,9 +35,19 @@
     return clock_gettime(CLOCK_BOOTTIME) if HAS_BOOT_TIME else monotonic()
 
 
+def awake_time() -> float:
+    """Seconds since boot, those left out in which the machine was suspended."""
+    return monotonic()
+
+
 def suspended_s() -> float:
-    """Seconds since boot in which the machine was suspended; 0.0 on the fallback."""
-    return clock_gettime(CLOCK_BOOTTIME) - monotonic() if HAS_BOOT_TIME else 0.0
+    """Seconds since boot in which the machine was suspended; 0.0 on the fallback.
+
+    The clocks are read in this order, since a process may be paused in between: the result is then
+    too large, and what is computed from it expires too early.
+    """
+    awake = awake_time()
+    return boot_time() - awake if HAS_BOOT_TIME else 0.0
 
 
 def log_fallback() -> None:
@@ -82,7 +92,7 @@
         """
         total_s = self.suspended_s()
         known_s = self._known_suspended_s
-        if known_s is None:
+        if known_s is None or total_s < known_s:
             self._known_suspended_s = total_s
         elif total_s - known_s >= MIN_SUSPENSION_S:
             self._known_suspended_s = total_s
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -131,6 +131,7 @@
         time_limit_s : float
             Seconds after which the job is given up.
         """
+        self._check_suspension()
         running = self._ctx.jobs.get(spec.job_id)
         if running is not None:
             self._ctx.metrics.count("jobs_joined")
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from ..clock import boot_time, suspended_s
+from ..clock import awake_time, boot_time, suspended_s
 from ..leased.entry_leases import CLOCK_DRIFT_RATIO
 from ..leased.model import (
     ActiveRun,
@@ -288,7 +288,7 @@
         if reply.body and reply.status != REPLACED_STATUS and attach_count == self._attach_count:
             clock_ms = reply.json().get("clock_ms")
             if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
-                self._clock_ms, self._clock_at = float(clock_ms), boot_time() - suspended_s()
+                self._clock_ms, self._clock_at = float(clock_ms), awake_time()
         return reply
 
 
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -54,6 +54,18 @@
     assert clock.suspensions() == 2
 
 
+def test_pause_between_two_readings_hides_no_later_suspension(clocks: dict[str, float]) -> None:
+    """Guards against a difference of the clocks that was read too large and then kept."""
+    clock = Clock()
+    clock.suspensions()
+    clocks["boot"] += 0.5
+    assert clock.suspensions() == 1
+    clocks["boot"] -= 0.5
+    assert clock.suspensions() == 1
+    clocks["boot"] += 0.2
+    assert clock.suspensions() == 2
+
+
 def test_platform_without_boot_time_uses_the_monotonic_clock_and_logs_it(
     clocks: dict[str, float], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -278,6 +290,18 @@
     assert_invariants_hold(world)
 
 
+def test_job_submitted_at_the_resume_is_not_placed_by_what_was_known_before() -> None:
+    """Guards against a request that is read before the first check after the resume."""
+    world = ready_world()
+    world.suspend("e0", 0.15)
+    world.run(0.15)
+    world.submit("e0", tasks=4, run_s=0.1)
+    assert not world.entries["e0"].links.open  # type: ignore[union-attr]
+    assert not any(world.entries["e0"].entry._ctx.assigned_runs.values())  # type: ignore[union-attr]
+    world.run(1.0)
+    assert world.starts == 4
+
+
 def test_resumed_entry_assigns_nothing_by_loads_from_before() -> None:
     """Guards against load reports that wait in sockets and describe agents of some time ago."""
     world = ready_world()
