--- a/src/gentianmux/typed_json.py
+++ b/src/gentianmux/typed_json.py
@@ -69,9 +69,9 @@
     return float(value)
 
 
-def get_bool(content: Mapping[str, Any], name: str) -> bool:
+def get_bool(content: Mapping[str, Any], name: str, default: Any = _MISSING) -> bool:
     """Return a boolean field; raises ``ValueError`` for anything else."""
-    value = content.get(name)
+    value = content.get(name, default)
     if not isinstance(value, bool):
         raise ValueError(f"{name} is not a boolean")
     return value
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -171,7 +171,7 @@
 def test_announced_capacity_is_not_used_before_a_heartbeat_confirms_it() -> None:
     """Guards against a restarted agent that fills a capacity which shrank meanwhile."""
     world = ready_world(agents=1)
-    announced = world.report_of(world.machines["w0"])._replace(sequence=0)
+    announced = world.report_of(world.machines["w0"])._replace(sequence=0, capacity_varies=True)
     world.kill(world.process_of("w0"))
     world.run(1.5)
     world.start_agent("w0")
@@ -188,6 +188,29 @@
     assert_invariants_hold(world)
 
 
+def test_constant_capacity_is_used_again_as_soon_as_its_agent_has_restarted() -> None:
+    """Guards against an endpoint that idles after each restart of its agent."""
+    world = ready_world(agents=1)
+    announced = world.report_of(world.machines["w0"])._replace(sequence=0)
+    world.kill(world.process_of("w0"))
+    world.run(1.0)
+    world.start_agent("w0")
+    agent_of(world).on_report(announced)
+    world.run(0.02)
+    assert agent_of(world).is_accepting
+
+
+def test_first_change_of_the_capacity_is_announced() -> None:
+    """Guards against a restarted agent that does not know that the capacity varies."""
+    world = ready_world(agents=1)
+    announced: list[bool] = []
+    agent = agent_of(world)
+    agent.on_report_change = lambda report: announced.append(agent.tracker.capacity_varies)
+    set_capacity(world, SHRUNK)
+    set_capacity(world, Resources(16000, 65536, 0))
+    assert announced == [True]
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_no_start_exceeds_the_newest_capacity_while_it_changes(seed: int) -> None:
     """Guards against any order of starts, ends and heartbeats that exceeds a capacity."""
