Capacity shares that follow demand, reported by agents

Cause: an entry counted on capacity / entries, an equal share, while demand between entries is uneven. A busy entry refused jobs beside free endpoints.

Change: each agent computes a share for each of its entries from the work that the entry assigned lately and from its waiting claims, and reports it as AgentLoad.share_permille. FleetView.countable_cpu sums capacity x share, and admission uses the sum. A share is raised only by what no other entry may still believe. Agents that are connected to all known entries report 0, and decisions are as before. Before a job is refused, its tasks are counted against the capacity on offer, which is counted for one job only.

--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -31,6 +31,7 @@
     StepSpec,
     instance_of,
 )
+from gentianmux.leased.rendezvous import ENTRIES_PER_AGENT, rank_entries
 from gentianmux.leased.resources import Resources
 from gentianmux.leased.settings import LeasedSettings, lease_s
 from gentianmux.messages import PROTOCOL_VERSION, Hello, Message
@@ -86,6 +87,7 @@
     ideal_s: float
     handle: JobHandle
     ended_at: float = field(default=0.0)
+    fitted: bool = False
 
 
 def _is_frame(call: Callable[..., Any]) -> bool:
@@ -102,6 +104,7 @@
 
     def set(self) -> None:
         self._asked.ended_at = self._world.time
+        self._asked.fitted = self._world.fits(self._asked)
 
 
 class World:
@@ -156,11 +159,13 @@
         self.clocks_stand_still = False
         self.cut: set[frozenset[str]] = set()
         self.silent_links: set[int] = set()
+        self.one_way_s = ONE_WAY_S
         self.bytes_per_s: dict[str, float] = {}
         self.link_bytes_s = link_bytes_s
         self.bytes_sent: dict[str, int] = defaultdict(int)
         self._link_free_at: dict[str, float] = {}
         self.alive: set[str] = set()
+        self._preferred: dict[str, frozenset[str]] = {}
         self._due: list[tuple[float, int, str, Callable[..., Any], tuple[Any, ...]]] = []
         self._held: dict[str, list[tuple[Callable[..., Any], tuple[Any, ...]]]] = defaultdict(list)
         self._count = 0
@@ -178,7 +183,8 @@
             self.start_agent(name)
         for number in range(entries):
             self.entries[f"e{number}"] = EntryNode(f"e{number}", f"fd{number % 3}")
-            self.start_entry(f"e{number}")
+        for name in self.entries:
+            self.start_entry(name)
         self.at(0.0, "", self._connect)
         self.at(0.0, "", self._heartbeats)
 
@@ -268,7 +274,8 @@
         for machine in self.machines.values():
             # As announced in the store.
             cpu = machine.endpoint.capacity.cpu
-            view.expect_agent(machine.name, "s", machine.domain, cpu, self.time)
+            if self._prefers(machine, node):
+                view.expect_agent(machine.name, "s", machine.domain, cpu, self.time)
         self.alive.add(me.process)
         self.every(TICK_S, me.process, entry.tick)
         self.every(LOSS_CHECK_INTERVAL_S, me.process, entry.check_losses)
@@ -379,9 +386,21 @@
         """Open what connections can be opened, as agents do every 0.1 s."""
         self.at(0.1, "", self._connect)
         for machine in self.machines.values():
+            if machine.agent is not None:
+                machine.agent.known_entries = len(self.entries)
             for node in self.entries.values():
-                if machine.links is not None and node.links is not None:
-                    self._open(machine.links, node.links)
+                links = machine.links
+                if links is not None and node.links is not None and self._prefers(machine, node):
+                    self._open(links, node.links)
+
+    def _prefers(self, machine: Machine, node: EntryNode) -> bool:
+        """Whether an agent connects to an entry; it does not look for others when one is gone."""
+        if len(self.entries) <= ENTRIES_PER_AGENT:
+            return True
+        if machine.name not in self._preferred:
+            first = rank_entries(machine.name, self.entries)[:ENTRIES_PER_AGENT]
+            self._preferred[machine.name] = frozenset(first)
+        return node.name in self._preferred[machine.name]
 
     def _open(self, agent: FakeLinks, entry: FakeLinks) -> None:
         pair = (agent.me.process, entry.me.process)
@@ -451,7 +470,7 @@
         if self.is_cut(sender, receiver):
             self.at(0.2, "", self.carry, sender, receiver, link, msg)
             return
-        on_its_way_s = ONE_WAY_S + self._queued_s(sender, msg)
+        on_its_way_s = self.one_way_s + self._queued_s(sender, msg)
         for links in self._links():
             if links.me.process == receiver:
                 self.at(on_its_way_s, receiver, links.take, sender, link, msg)
@@ -533,6 +552,12 @@
             handle.done = _EndNote(self, asked)
         return asked
 
+    def fits(self, asked: Asked) -> bool:
+        """Whether the endpoints have free resources for all tasks of a job of one step."""
+        step = asked.spec.steps[0]
+        free = (each.agent.table.resources.free for each in self.machines.values() if each.agent)
+        return sum(max(0, each.cpu) // step.need.cpu for each in free) >= step.tasks
+
     def note_start(self, endpoint: FakeEndpoint, task: str, late: bool) -> None:
         """Check a start against evacuations, cancels, and other runs of its task at work."""
         self.started.add(task)
--- a/src/gentianmux/leased/admission_controller.py
+++ b/src/gentianmux/leased/admission_controller.py
@@ -13,6 +13,7 @@
 )
 from .entry_context import EntryContext
 from .job_state import JobState, Timeliness
+from .offered_capacity import OfferedCapacity, keep_fitting
 
 NO_AGENT_TIMEOUT_S = 0.5
 """Seconds for which a job waits while no agent serves its service; a restarted agent needs less."""
@@ -59,7 +60,7 @@
         view = self._ctx.view
         entries = max(1, view.entries(now))
         jobs = self._ctx.backlog.jobs_of(service)
-        capacity = view.capacity_cpu(service, now) / entries
+        capacity = view.countable_cpu(service, now)
         if self._ctx.window.is_limiting(now):
             # The link limits what can begin, however many endpoints are idle.
             capacity = min(capacity, policy.begun_cpu(now))
@@ -69,9 +70,27 @@
         self._no_agent_since.pop(service, None)
         expected = view.expected_cpu(service, now) / entries
         decision = policy.decide(jobs, capacity, now, expected)
+        if decision.refused:
+            self._keep_fitting(service, decision, jobs, now)
         self._apply(decision, now, entries)
         self._reorder(decision.late)
 
+    def _keep_fitting(
+        self, service: str, decision: Decision, jobs: list[JobState], now: float
+    ) -> None:
+        """Keep refused jobs that fit the capacity on offer; count others that are beside some."""
+        view = self._ctx.view
+        eligible = [a for a in view.eligible(service, now) if not a.is_shutting_down]
+        offered = OfferedCapacity(agent.free for agent in eligible)
+        has_shares = any(agent.share_permille for agent in eligible)
+        if has_shares and not self._ctx.window.is_limiting(now):
+            for job in keep_fitting(decision, jobs, offered):
+                policy = self.policies[service]
+                policy.next_decision_at = min(policy.next_decision_at, job.last_useful_start)
+                self._ctx.metrics.count("jobs_kept_by_offers")
+        beside = sum(offered.holds(refusal.job.demand.smallest) for refusal in decision.refused)
+        self._ctx.metrics.count("jobs_refused_beside_offers", beside)
+
     def _reorder(self, jobs: list[JobState]) -> None:
         """Move jobs that will be served late behind the others."""
         for job in jobs:
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -198,6 +198,15 @@
         grants.late_headroom = Resources(int(capacity.cpu * LATE_HEADROOM_RATIO))
         grants.shrink_to(self._ctx.table.resources.free)
 
+    @property
+    def known_entries(self) -> int:
+        """Number of entries known from announcements, connected or not."""
+        return self._ctx.reporter.shares.known_entries
+
+    @known_entries.setter
+    def known_entries(self, count: int) -> None:
+        self._ctx.reporter.shares.known_entries = count
+
     @property
     def is_accepting(self) -> bool:
         """Whether new runs may begin here."""
@@ -252,7 +261,7 @@
     @on_message.register
     def _(self, msg: Assign, entry: str) -> None:
         now = self._ctx.clock.now()
-        self._leases.record_echo(entry, msg.echo)
+        self._ctx.reporter.record_echo(entry, msg.echo)
         self._ctx.reporter.applied[entry] = max(
             msg.number, self._ctx.reporter.applied.get(entry, 0)
         )
@@ -294,7 +303,7 @@
 
     @on_message.register
     def _(self, msg: LoadEcho, entry: str) -> None:
-        self._leases.record_echo(entry, msg.number)
+        self._ctx.reporter.record_echo(entry, msg.number)
         self._ctx.reporter.acknowledge(entry, msg.seen)
         self._ctx.reporter.on_claims(entry, msg.claims, msg.gives_back)
         self._config_transfer.on_version(entry, msg.config_version)
@@ -401,6 +410,7 @@
             slowness_percent,
             self._ctx.feed.version,
             self._ctx.max_estimate_ms(),
+            self._ctx.table.resources.capacity.cpu,
         )
 
     def send_reports(self) -> None:
--- a/src/gentianmux/leased/connectors.py
+++ b/src/gentianmux/leased/connectors.py
@@ -36,7 +36,8 @@
     links : Links
         Connections of the agent.
     agent : Agent
-        Stops offering resources to the entries that are no longer preferred.
+        Stops offering resources to the entries that are no longer preferred, and is told how many
+        entries there are.
     directory : Directory
         Source of the announcements.
     clock : Clock
@@ -85,6 +86,7 @@
         """Dial the preferred entries, and disconnect from others once they have no runs here."""
         connected = self._links.peer_addresses()
         self._addresses.update(connected)
+        self._agent.known_entries = len(self._addresses)
         names = entries_to_connect(self._me, self._addresses, connected)
         for name, address in self._addresses.items():
             if name in names:
--- a/src/gentianmux/leased/entry_leases.py
+++ b/src/gentianmux/leased/entry_leases.py
@@ -78,6 +78,10 @@
         """Monotonic time at which an entry's lease expires, or has expired; 0 if it has none."""
         return self._until.get(entry, 0.0)
 
+    def has_expired(self, entry: str, now: float) -> bool:
+        """Whether an entry held a lease that has expired; false for one that never held any."""
+        return 0.0 < self.expires_at(entry) <= now
+
     def count_valid(self, now: float) -> int:
         """Number of entries that hold a lease."""
         return sum(1 for until in self._until.values() if now < until)
--- a/src/gentianmux/leased/entry_reporter.py
+++ b/src/gentianmux/leased/entry_reporter.py
@@ -10,6 +10,7 @@
 from .links import Links
 from .model import RunOutcome
 from .resources import NO_RESOURCES, Resources
+from .share_reports import ShareReports
 
 REPORT_DELAY_S = 0.002
 """Delay that combines changes into one report to all entries: about one network round trip."""
@@ -28,6 +29,7 @@
     slowness_percent: int
     config_version: int
     longest_ms: int
+    capacity_cpu: int
 
 
 class EntryReporter:
@@ -52,6 +54,8 @@
         Number of the last assignment applied, by entry.
     grants : Grants
         Claims of entries, and the resources granted to them.
+    shares : ShareReports
+        Shares of the capacity that entries may count on.
     not_offered : set
         Entries that get no resources, since the agent is about to disconnect from them.
 
@@ -71,6 +75,7 @@
         self.leases = EntryLeases()
         self.applied: dict[str, int] = {}
         self.grants = Grants()
+        self.shares = ShareReports(self.leases, self.grants)
         self.not_offered: set[str] = set()
         self._links = links
         self._clock = clock
@@ -139,9 +144,20 @@
             self.not_offered.discard(entry)
             self._reported_at.pop(entry, None)
             self.grants.remove(entry)
+            self.shares.remove(entry)
 
     # Load
 
+    def record_echo(self, entry: str, number: int) -> None:
+        """Renew an entry's lease, and report to entries whose share has become free by this."""
+        if self.shares.is_enabled and self.leases.has_expired(entry, self._clock.now()):
+            # The entry has had no share since its lease expired.
+            self.schedule_report()
+        self.leases.record_echo(entry, number)
+        lacking = self.shares.record_echo(entry, number)
+        if lacking:
+            self._report(lacking)
+
     def schedule_report(self) -> None:
         """Schedule a load report to all entries."""
         if not self._report_scheduled:
@@ -174,6 +190,7 @@
         load = self._load()
         leased_entries = self.leases.count_valid(now)
         offers = self.grants.offers(self._rotated_entries(), load.offered, now)
+        self.shares.update(self._links.processes(), load.capacity_cpu, now)
         for entry in entries:
             self._reported_at[entry] = now
             resources = offers.get(entry, NO_RESOURCES)
@@ -187,6 +204,7 @@
                 config_version=load.config_version,
                 entries=leased_entries,
                 longest_ms=load.longest_ms,
+                share_permille=self.shares.report(entry, self._number, now),
             )
             self._links.send(entry, msg)
 
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -61,6 +61,8 @@
         Monotonic time at which the newest echoed report was received.
     last_ended_number : int
         Number of the newest ended run that was recorded.
+    share_permille : int
+        Thousandths of the agent's capacity that this entry may count on; 0 if not known.
     """
 
     process: str
@@ -78,6 +80,7 @@
     longest_ms: int = UNBOUNDED_ESTIMATE_MS
     echoed_at: float = 0.0
     last_ended_number: int = 0
+    share_permille: int = 0
 
     def set_offered(self, resources: Resources) -> None:
         """Set the resources that the agent offers; pending assignments are deducted."""
@@ -100,6 +103,7 @@
         self.slowness = load.slowness_percent / 100
         self.entries = load.entries
         self.longest_ms = load.longest_ms
+        self.share_permille = load.share_permille
         for number in [number for number in self._pending if number <= load.applied]:
             del self._pending[number]
         self.set_offered(Resources(load.cpu, load.mem_mb, load.gpu))
@@ -267,10 +271,20 @@
 
     def capacity_cpu(self, service: str, now: float) -> float:
         """Cores of all endpoints that serve a service; extrapolated in a large fleet."""
+        known = sum(_capacity_of(agent).cpu for agent in self.serving(service, now))
+        return self._extrapolated(known) + self.expected_cpu(service, now)
+
+    def countable_cpu(self, service: str, now: float) -> float:
+        """Cores that this entry can count on: its shares, even ones where unknown."""
         serving = self.serving(service, now)
-        sampled = max(1, min(len(self._order), MAX_AGENTS_PER_ROUND))
-        known = sum(_capacity_of(a).cpu for a in serving) / 1000 * len(self._order) / sampled
-        return known + self.expected_cpu(service, now)
+        unknown = sum(_capacity_of(agent).cpu for agent in serving if not agent.share_permille)
+        even = self._extrapolated(unknown) + self.expected_cpu(service, now)
+        by_share = sum(_capacity_of(agent).cpu * agent.share_permille for agent in serving)
+        return even / max(1, self.entries(now)) + self._extrapolated(by_share / 1000)
+
+    def _extrapolated(self, cpu: float) -> float:
+        """Cores of the whole fleet, from thousandths of a core of the sampled agents."""
+        return cpu / 1000 * max(1.0, len(self._order) / MAX_AGENTS_PER_ROUND)
 
     def expected_cpu(self, service: str, now: float) -> float:
         """Cores of announced agents that have not reported yet."""
--- a/src/gentianmux/leased/grants.py
+++ b/src/gentianmux/leased/grants.py
@@ -122,6 +122,13 @@
         """Whether any entry waits for resources."""
         return bool(self._claims)
 
+    def waiting_cpu(self) -> dict[str, int]:
+        """Processors that claims of work in time wait for, by entry, in thousandths of a core."""
+        return {
+            entry: sum(pending.need.cpu for pending in claims if not pending.late)
+            for entry, claims in self._claims.items()
+        }
+
     def allocate(self, free: Resources, now: float) -> set[str]:
         """Grant free resources, most urgent claims first; return the entries that got any."""
         self._expire_grants(now)
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -81,6 +81,7 @@
         if not self._ctx.table.begin(key, entry, need, task.estimate_ms, now):
             return RunOutcome.NO_ROOM
         self._ctx.reporter.grants.task_cpu = need.cpu
+        self._ctx.reporter.shares.demand.record_work(entry, need.cpu, task.estimate_ms, now)
         self._ctx.metrics.count("runs_started")
         logger.bind(
             task=task.name,
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -424,6 +424,7 @@
 
     ``entries`` is the number of entries that share the agent. ``longest_ms`` is the longest
     estimate of a run that it still starts; an agent that shuts down starts only short ones.
+    ``share_permille`` is the part of the capacity that the entry may count on; 0 if not known.
     """
 
     number: int
@@ -435,6 +436,7 @@
     config_version: int
     entries: int
     longest_ms: int
+    share_permille: int = 0
 
 
 class LoadEcho(NamedTuple):
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -47,6 +47,12 @@
     "jobs_kept_in_vain": Metric(
         "counter", "jobs", "Leased jobs given up after they were kept, by what was expected."
     ),
+    "jobs_kept_by_offers": Metric(
+        "counter", "jobs", "Leased jobs not refused since free capacity on offer suffices for them."
+    ),
+    "jobs_refused_beside_offers": Metric(
+        "counter", "jobs", "Leased jobs refused while an offer had room for one of their tasks."
+    ),
     "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
     "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
     "cancels": Metric("counter", "cancels", "Cancels of callers, by whether they were accepted."),
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -293,6 +293,7 @@
   configVersion @6 :Int64;
   entries @7 :Int64;
   longestMs @8 :Int64;
+  sharePermille @9 :Int64;
 }
 
 struct LoadEcho {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -35,6 +35,7 @@
     m.EndedRuns([m.EndedRun(1, "a.0.0.1", 2, 10, 130)]),
     m.Holding(8, [m.RunRef("a.0.0.1", 2)]),
     m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
+    m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500, 250),
     m.LoadEcho(9, 3, True, [m.Claim(3200, 128, 1, 1600, True, False, 0, 120)], 7),
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
     m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a"], True, born=1_790_000_000_000),
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -67,6 +67,7 @@
     def __init__(self) -> None:
         self.serves: set[str] = set()
         self.not_offered: set[str] = set()
+        self.known_entries = 0
 
     def stop_offering(self, entries: set[str]) -> set[str]:
         idle = {e for e in entries & self.not_offered if e not in self.serves}
@@ -121,6 +122,17 @@
     assert links.disconnected == [f"{order[5]}.1"]
 
 
+def test_agent_is_told_how_many_entries_there_are() -> None:
+    """Guards against even shares where other entries exist than the connected ones."""
+    links, agent = FakeLinks(), FakeAgent()
+    connector = connector_of(links, agent)
+    connector.update(entries(9))
+    assert agent.known_entries == 9
+    links.open = {"e11.1": "a11"}
+    connector.reconcile()
+    assert agent.known_entries == 10
+
+
 def test_moved_entry_is_dialed_only_at_its_new_address() -> None:
     links = FakeLinks()
     connector = connector_of(links)
