--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -24,7 +24,19 @@
 from bench.processes import ROOT
 from bench.scenario import Experiment, Scenario, read_experiment
 
-SHOWN = ("credit", "worst_window", "worst_kind", "in_time", "late", "refused", "refused_late")
+SHOWN = (
+    "credit",
+    "worst_window",
+    "worst_kind",
+    "in_time",
+    "late",
+    "refused",
+    "refused_late",
+    "beside_free",
+    "busiest",
+    "quietest",
+    "frames",
+)
 
 
 class Run(NamedTuple):
--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -10,7 +10,7 @@
 import argparse
 import heapq
 import json
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from math import log10, nan
 from pathlib import Path
@@ -82,7 +82,16 @@
 class Result(NamedTuple):
     """One run: parts of the credit, and of the jobs.
 
-    Kept rows of earlier versions were not measured by the last three.
+    Kept rows of earlier versions were not measured by the last ones.
+
+    Attributes
+    ----------
+    beside_free : float
+        Jobs refused while endpoints had free resources for all of their tasks.
+    busiest, quietest : float
+        Jobs in time of the entries with the most and the least traffic.
+    frames : float
+        Messages of all processes per job.
     """
 
     load: float
@@ -97,6 +106,10 @@
     refused_late: float = nan
     evenly: float = nan
     served: float = nan
+    beside_free: float = nan
+    busiest: float = nan
+    quietest: float = nan
+    frames: float = nan
 
 
 def arrivals(rng: Random, load: float, scenario: Scenario = USUAL) -> list[Arrival]:
@@ -130,6 +143,7 @@
     for machine, cpu, speed in sizes:
         machine.endpoint.capacity = Resources(cpu, 65536, 0)
         machine.endpoint.speed = speed
+    world.one_way_s = scenario.one_way_s
     world.run(WARM_S)
     return world
 
@@ -190,11 +204,14 @@
         world.at(job.at, "", callers.come, number, job)
     if scenario.power is not None:
         world.at(scenario.power.lost_at_s, "", callers.lose_power, scenario.power)
+    frames_before = world.frames
     world.run(scenario.seconds + TAIL_S)
     if world.breaches:
         raise AssertionError(world.breaches[:3])
     tries = list(callers.tries.values())
-    return account(load, tries, world.wasted_runs, one_queue(jobs, scenario))
+    best = one_queue(jobs, scenario)
+    frames = (world.frames - frames_before) / len(jobs)
+    return account(load, tries, world.wasted_runs, best)._replace(frames=frames)
 
 
 def submit(world: World, job: Arrival) -> Asked:
@@ -224,6 +241,7 @@
     owed: Counter[object] = Counter()
     got: Counter[object] = Counter()
     ways: Counter[str] = Counter()
+    by_entry: defaultdict[str, list[bool]] = defaultdict(list)
     for job, handed_in in asked:
         result = handed_in.handle.result
         done = result is not None and result.outcome is JobOutcome.COMPLETED
@@ -234,7 +252,10 @@
             got[key] += credit  # type: ignore[assignment]
         ways["in" if credit == job.worth else "late" if credit else "refused"] += 1
         waited_s = handed_in.ended_at - handed_in.at
+        ways["beside free"] += not done and handed_in.fitted
+        by_entry[job.entry].append(credit == job.worth)
         ways["refused late"] += not done and waited_s > REFUSED_LATE * job.objective_s
+    by_traffic = sorted(by_entry.values(), key=len)
     parts = {key: got[key] / owed[key] for key in owed}
     worst_kind = min(parts[name] for name in {job.kind.queue.name for job, _ in asked})
     unserved = ways["refused"] / len(asked)
@@ -252,6 +273,9 @@
         ways["refused late"] / len(asked),
         _by_weights(EVENLY, parts["all"], mean(windows[:2]), worst_kind, unserved),
         _by_weights(SERVED, parts["all"], mean(windows[:2]), worst_kind, unserved),
+        ways["beside free"] / len(asked),
+        mean(by_traffic[-1]),
+        mean(by_traffic[0]),
     )
 
 
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -60,6 +60,8 @@
         From when to when they come at the multiple that is played.
     power : Power or None
         A loss of power.
+    one_way_s : float
+        Time of a message on its way, with the time that busy processes need.
     """
 
     rooms: tuple[int, ...]
@@ -71,6 +73,7 @@
     seconds: float = 10.0
     burst: tuple[float, float] = (3.0, 7.0)
     power: Power | None = None
+    one_way_s: float = 0.0005
 
 
 class Experiment(NamedTuple):
