--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -36,6 +36,12 @@
     "busiest",
     "quietest",
     "frames",
+    "in_time_p0",
+    "in_time_p1",
+    "in_time_p2",
+    "late",
+    "refused",
+    "refused_late",
 )
 
 
--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -80,7 +80,7 @@
 
 
 class Result(NamedTuple):
-    """One run: parts of the credit, and of the jobs.
+    """One run: parts of the credit, and of the jobs; ``in_time_p0`` is of priority 0.
 
     Kept rows of earlier versions were not measured by the last ones.
 
@@ -92,6 +92,7 @@
         Jobs in time of the entries with the most and the least traffic.
     frames : float
         Messages of all processes per job.
+    Kept rows of earlier versions do not have the fields with a default.
     """
 
     load: float
@@ -110,6 +111,9 @@
     busiest: float = nan
     quietest: float = nan
     frames: float = nan
+    in_time_p0: float = nan
+    in_time_p1: float = nan
+    in_time_p2: float = nan
 
 
 def arrivals(rng: Random, load: float, scenario: Scenario = USUAL) -> list[Arrival]:
@@ -251,6 +255,8 @@
             owed[key] += job.worth  # type: ignore[assignment]
             got[key] += credit  # type: ignore[assignment]
         ways["in" if credit == job.worth else "late" if credit else "refused"] += 1
+        ways[f"in p{job.kind.queue.priority}"] += credit == job.worth
+        ways[f"all p{job.kind.queue.priority}"] += 1
         waited_s = handed_in.ended_at - handed_in.at
         ways["beside free"] += not done and handed_in.fitted
         by_entry[job.entry].append(credit == job.worth)
@@ -276,6 +282,7 @@
         ways["beside free"] / len(asked),
         mean(by_traffic[-1]),
         mean(by_traffic[0]),
+        *(ways[f"in p{each}"] / (ways[f"all p{each}"] or nan) for each in range(3)),
     )
 
 
