--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -404,7 +404,7 @@
         )
 
     def _current_load(self) -> Load:
-        slowness_percent = int(self._ctx.health.slowness() * 100)
+        slowness_percent = self._ctx.health.speed.percent(self._ctx.clock.now())
         return Load(
             self._ctx.offered(),
             slowness_percent,
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -123,12 +123,14 @@
     def handle_finished(self, finished: list[FinishedRun]) -> None:
         """Report finished runs to their entries and update the endpoint's health."""
         now = self.clock.now()
+        before = self.health.slowness(), self.health.speed.changes
         for run, how in finished:
             ran_s = now - run.began
             if how in (RunOutcome.DONE, RunOutcome.FAILED):
                 # A run time that includes a suspension does not tell how fast the endpoint is.
                 is_measured = how is RunOutcome.DONE and run.began >= self.clock.resumed_at
                 ratio = ran_s * 1000 / max(1, run.estimate_ms) if is_measured else None
+                ratio = ran_s * 1000 / run.expected_ms if how is RunOutcome.DONE else None
                 self.health.ended(job_id_of(run.key[0]), how is RunOutcome.FAILED, ratio, now)
             self.metrics.count("runs_ended", label=how.name.lower())
             self.metrics.observe("run_seconds", ran_s, label=how.name.lower())
@@ -144,9 +146,19 @@
             self.reporter.record_ended(run.entry, *run.key, how, int(ran_s * 1000))
         for entry in {run.entry for run, _ in finished}:
             self.reporter.send_ended(entry)
+        self._note_speed(before, now)
         if self.health.is_ejected(now):
             self.reporter.schedule_report()
 
+    def _note_speed(self, before: tuple[float, int], now: float) -> None:
+        """Show the endpoint's speed to operators, and log when it has changed."""
+        speed = self.health.speed
+        self.metrics.gauge("endpoint_slowness_percent", speed.percent(now))
+        if speed.changes > before[1]:
+            logger.bind(before_percent=round(100 * before[0]), percent=speed.percent(now)).info(
+                "endpoint speed changed"
+            )
+
     def has_runs_of(self, entry: str) -> bool:
         """Whether an entry has active runs here."""
         return any(run.entry == entry for run in self.table.runs.values())
--- a/src/gentianmux/leased/candidates.py
+++ b/src/gentianmux/leased/candidates.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .resources import Resources
+from .speed import preference
 
 if TYPE_CHECKING:
     from .fleet_view import AgentView, FleetView, PlacementRequest
@@ -13,7 +14,7 @@
 
 
 class Candidates:
-    """Agents with free resources, in a heap by speed and load.
+    """Agents with free resources, in one heap by load for each speed class.
 
     The best agent for a task is found without ranking all of them again.
 
@@ -33,8 +34,12 @@
     def __init__(self, view: "FleetView", agents: Iterable["AgentView"]) -> None:
         self._view = view
         self._agents = [agent for agent in agents if agent.free.cpu > 0]
-        self._heap: list[_HeapItem] = [self._heap_item(n) for n in range(len(self._agents))]
-        heapify(self._heap)
+        self._heaps: dict[int, list[_HeapItem]] = {}
+        for number in range(len(self._agents)):
+            item = self._heap_item(number)
+            self._heaps.setdefault(item[0], []).append(item)
+        for heap in self._heaps.values():
+            heapify(heap)
         self._last_taken: int | None = None
 
     def __len__(self) -> int:
@@ -46,7 +51,8 @@
     def _put_back_taken(self) -> None:
         number, self._last_taken = self._last_taken, None
         if number is not None and self._agents[number].free.cpu > 0:
-            heappush(self._heap, self._heap_item(number))
+            item = self._heap_item(number)
+            heappush(self._heaps[item[0]], item)
 
     @property
     def max_free_cpu(self) -> int:
@@ -70,10 +76,19 @@
         if request.is_constrained:
             # The heap ignores constraints, which few tasks have.
             return self._take_constrained(request)
+        for speed_class in sorted(
+            self._heaps, key=lambda each: preference(each, request.speed_limit)
+        ):
+            found = self._take_from(self._heaps[speed_class], request)
+            if found is not None:
+                return found
+        return None
+
+    def _take_from(self, heap: list[_HeapItem], request: "PlacementRequest") -> "AgentView | None":
         skipped: list[_HeapItem] = []
         found = None
-        while self._heap and found is None:
-            item = heappop(self._heap)
+        while heap and found is None:
+            item = heappop(heap)
             agent = self._agents[item[-1]]
             if _suits(agent, request):
                 found = agent
@@ -81,7 +96,7 @@
             else:
                 skipped.append(item)
         for item in skipped:
-            heappush(self._heap, item)
+            heappush(heap, item)
         return found
 
     def _take_constrained(self, request: "PlacementRequest") -> "AgentView | None":
@@ -89,8 +104,9 @@
         if agent is not None:
             # The next call pushes it again with its new rank.
             number = self._agents.index(agent)
-            self._heap = [item for item in self._heap if item[-1] != number]
-            heapify(self._heap)
+            heap = self._heaps[self._view.speed_class(agent)]
+            heap[:] = [item for item in heap if item[-1] != number]
+            heapify(heap)
             self._last_taken = number
         return agent
 
--- a/src/gentianmux/leased/endpoint_health.py
+++ b/src/gentianmux/leased/endpoint_health.py
@@ -1,8 +1,7 @@
 """Ejects an endpoint that fails or stalls, and measures its slowness."""
 
-from collections import deque
-
 from .resources import Resources
+from .speed import SpeedEstimate
 
 EJECT_AFTER_FAILURES = 4
 """Consecutive failed runs of different jobs after which an endpoint is ejected. A job that can
@@ -17,9 +16,6 @@
 MAX_EJECTION_S = 4.0
 """Bound on the length of an ejection in seconds."""
 
-SLOWNESS_SAMPLES = 8
-"""Ended runs over which the slowness is averaged."""
-
 TRIAL_RUNS = 1
 """Concurrent runs of an endpoint on trial."""
 
@@ -33,6 +29,8 @@
         Whether no run has succeeded since the last ejection.
     ejections : int
         Number of ejections.
+    speed : SpeedEstimate
+        Speed of the endpoint.
 
     Examples
     --------
@@ -45,7 +43,7 @@
 
     def __init__(self) -> None:
         self._failed_jobs: set[str] = set()
-        self._ratios: deque[float] = deque(maxlen=SLOWNESS_SAMPLES)
+        self.speed = SpeedEstimate()
         self._ejected_until = 0.0
         self._ejection_s = MIN_EJECTION_S
         self.on_trial = False
@@ -61,7 +59,7 @@
         failed : bool
             Whether the run failed.
         ratio : float or None
-            Run time over estimate; None when it says nothing.
+            Run time over expected run time; None when it says nothing.
         now : float
             Monotonic time in seconds.
         """
@@ -69,7 +67,7 @@
             self._failed_jobs.clear()
             self._recovered()
             if ratio is not None:
-                self._ratios.append(ratio)
+                self.speed.ended(ratio, now)
             return
         self._failed_jobs.add(job)
         if len(self._failed_jobs) >= EJECT_AFTER_FAILURES or self.on_trial:
@@ -105,5 +103,5 @@
         return free
 
     def slowness(self) -> float:
-        """Mean run time over estimate of the last runs; 1.0 while unknown."""
-        return sum(self._ratios) / len(self._ratios) if self._ratios else 1.0
+        """Mean run time over expected run time of the last runs; 1.0 while unknown."""
+        return self.speed.factor()
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -188,6 +188,8 @@
         view = self._ctx.view.get_or_add(agent)
         before = view.state
         view.state = msg
+        if before is not None and before.incarnation != msg.incarnation:
+            view.slowness = 0.0
         view.last_heard_at = self._ctx.clock.now()
         if before != msg:
             logger.bind(
@@ -200,7 +202,7 @@
     @on_message.register
     def _(self, msg: EndedRuns, agent: str) -> None:
         for row in msg.runs:
-            self._completions.record_end(agent, row.task, row.run, RunOutcome(row.how))
+            self._completions.record_end(agent, row.task, row.run, RunOutcome(row.how), row.ran_ms)
         view = self._ctx.view.get_or_add(agent)
         if msg.runs:
             view.last_ended_number = max(view.last_ended_number, msg.runs[-1].number)
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -9,8 +9,10 @@
 from .claims import Signature
 from .entry_leases import ENTRY_LEASE_S, leases_expire_at
 from .model import instance_of
+from .placement_request import PlacementRequest as PlacementRequest
 from .resources import NO_RESOURCES, Resources
 from .shutdown import UNBOUNDED_ESTIMATE_MS
+from .speed import FleetSpeeds, SpeedChange, preference
 
 MAX_REPORT_AGE_S = ENTRY_LEASE_S - 0.05
 """Age in seconds of its newest load report from which an agent gets no new runs: they would arrive
@@ -46,7 +48,11 @@
     free : Resources
         Resources offered, less what was assigned since the report that offered them.
     slowness : float
-        Mean run time over estimate at the endpoint.
+        Reported speed factor of the endpoint: run time over expected run time; 0 while unknown.
+    factor : float
+        Factor relative to the mean of all agents, or its prior; 1.0 while speeds are even.
+    speed_class : int
+        Class of that factor; negative for faster than the mean.
     last_assigned_number : int
         Number of the last assignment.
     backoff_until : float
@@ -70,7 +76,9 @@
     last_heard_at: float = 0.0
     newest_load: int = 0
     free: Resources = NO_RESOURCES
-    slowness: float = 1.0
+    slowness: float = 0.0
+    factor: float = 1.0
+    speed_class: int = 0
     last_assigned_number: int = 0
     _offered: Resources = NO_RESOURCES
     _pending: dict[int, Resources] = field(default_factory=dict)
@@ -135,39 +143,6 @@
     until: float
 
 
-class PlacementRequest(NamedTuple):
-    """Requirements of a task on the endpoint that runs it.
-
-    Attributes
-    ----------
-    service : str
-        Service that the endpoint must run.
-    need : Resources
-        Resources of the task.
-    requires, prefers : str
-        Labels that the endpoint must have, or that are preferred; empty for none.
-    avoid : frozenset of str
-        Endpoint incarnations on which a run of the task did not succeed.
-    full : frozenset of str
-        Endpoint incarnations that may hold no more tasks of its step.
-    estimate_ms : int
-        Estimated run time in ms.
-    """
-
-    service: str
-    need: Resources
-    requires: str = ""
-    prefers: str = ""
-    avoid: frozenset[str] = frozenset()
-    full: frozenset[str] = frozenset()
-    estimate_ms: int = 0
-
-    @property
-    def is_constrained(self) -> bool:
-        """Whether the task has requirements beyond resources and run time."""
-        return bool(self.requires or self.prefers or self.avoid or self.full)
-
-
 class FleetView:
     """The agents that an entry is connected to; pure.
 
@@ -184,6 +159,8 @@
         Views of agents by their process.
     evacuated : tuple of str
         Failure domains whose agents get no runs and count as no capacity.
+    speeds : FleetSpeeds
+        Comparison of the agents' speeds.
 
     Examples
     --------
@@ -194,6 +171,7 @@
     def __init__(self, lease_s: float, rng: Random) -> None:
         self.agents: dict[str, AgentView] = {}
         self.evacuated: tuple[str, ...] = ()
+        self.speeds = FleetSpeeds()
         self._order: list[AgentView] = []
         self._expected: dict[str, ExpectedAgent] = {}
         self._lease_s = lease_s
@@ -257,6 +235,16 @@
         """Agents that serve a service and have not refused a run lately."""
         return [agent for agent in self.serving(service, now) if now >= agent.backoff_until]
 
+    def compare_speeds(self, now: float) -> list[SpeedChange]:
+        """Compare the speeds of agents when it is due, and return those that have changed."""
+        if not self.speeds.is_due(len(self._order), now):
+            return []
+        return self.speeds.refresh(self._order, now, SLOWNESS_STEP)
+
+    def record_run_time(self, process: str, queue: str, ratio: float) -> None:
+        """Record the run time over estimate of a run that has ended at an agent."""
+        self.speeds.levels.record(queue, ratio, self.get_or_add(process).factor)
+
     def expect_agent(
         self, node: str, service: str, failure_domain: str, cpu: int, now: float
     ) -> None:
@@ -285,6 +273,16 @@
     def _extrapolated(self, cpu: float) -> float:
         """Cores of the whole fleet, from thousandths of a core of the sampled agents."""
         return cpu / 1000 * max(1.0, len(self._order) / MAX_AGENTS_PER_ROUND)
+        """Cores of all endpoints that serve a service; extrapolated in a large fleet.
+
+        A core of a fast endpoint counts more, by its speed factor.
+        """
+        serving = self.serving(service, now)
+        sampled = max(1, min(len(self._order), MAX_AGENTS_PER_ROUND))
+        known = (
+            sum(_capacity_of(a).cpu / a.factor for a in serving) / 1000 * len(self._order) / sampled
+        )
+        return known + self.expected_cpu(service, now)
 
     def expected_cpu(self, service: str, now: float) -> float:
         """Cores of announced agents that have not reported yet."""
@@ -338,14 +336,20 @@
         lacks_preferred = bool(request.prefers) and (
             state is None or request.prefers not in state.labels
         )
-        return lacks_preferred, *self.rank(agent)
+        speed_class, busy, tie = self.rank(agent)
+        return lacks_preferred, preference(speed_class, request.speed_limit), busy, tie
+
+    def speed_class(self, agent: AgentView) -> int:
+        """Speed class by which an agent is ranked; below the mean only if speeds are uneven."""
+        if self.speeds.is_uneven:
+            return agent.speed_class
+        return round(max(agent.slowness, 1.0) / SLOWNESS_STEP)
 
     def rank(self, agent: AgentView) -> tuple[int, float, float]:
         """Sort key of agents: the faster first, then the less loaded, then at random."""
-        slowness = round(max(agent.slowness, 1.0) / SLOWNESS_STEP)
         capacity = _capacity_of(agent)
         busy = capacity.minus(agent.free).dominant_share(capacity)
-        return slowness, busy, self._rng.random()
+        return self.speed_class(agent), busy, self._rng.random()
 
 
 def _capacity_of(agent: AgentView) -> Resources:
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -189,6 +189,13 @@
             self._demand = JobDemand(total, min(needs, default=NO_RESOURCES))
         return self._demand
 
+    def time_left_s(self, task: TaskState, now: float) -> float:
+        """Seconds until a task has to end for its job to be in time, or of use if it is late."""
+        useful = USEFUL_MARGIN_RATIO * USEFUL_OBJECTIVE_FACTOR
+        factor = useful if self.timeliness is Timeliness.LATE else 1.0
+        end_by = self.arrived_at + factor * self.objective_s
+        return end_by - now - estimate_remaining_s(self.spec, task.step)
+
     def _invalidate(self) -> None:
         self._ready = None
         self._demand = None
@@ -253,6 +260,17 @@
         return not self.may_have_run and not self.assigned_tasks()
 
 
+def estimate_remaining_s(spec: JobSpec, step: int) -> float:
+    """Estimated run time of the longest path of steps that follow a step, in seconds."""
+    lengths_ms = [0] * len(spec.steps)
+    for number in range(len(spec.steps) - 1, step, -1):
+        for earlier in spec.steps[number].after:
+            if earlier < number:
+                length_ms = spec.steps[number].estimate_ms + lengths_ms[number]
+                lengths_ms[earlier] = max(lengths_ms[earlier], length_ms)
+    return lengths_ms[step] / 1000
+
+
 def estimate_critical_path_s(spec: JobSpec) -> float:
     """Estimated run time of a job's critical path, in seconds."""
     end_times_ms: list[int] = []
--- /dev/null
+++ b/src/gentianmux/leased/placement_request.py
@@ -0,0 +1,41 @@
+"""What a task requires of the endpoint that runs it."""
+
+from typing import NamedTuple
+
+from .resources import Resources
+
+
+class PlacementRequest(NamedTuple):
+    """Requirements of a task on the endpoint that runs it.
+
+    Attributes
+    ----------
+    service : str
+        Service that the endpoint must run.
+    need : Resources
+        Resources of the task.
+    requires, prefers : str
+        Labels that the endpoint must have, or that are preferred; empty for none.
+    avoid : frozenset of str
+        Endpoint incarnations on which a run of the task did not succeed.
+    full : frozenset of str
+        Endpoint incarnations that may hold no more tasks of its step.
+    estimate_ms : int
+        Estimated run time in ms.
+    speed_limit : int or None
+        Slowest speed class in which the task is in time; None to prefer the fastest.
+    """
+
+    service: str
+    need: Resources
+    requires: str = ""
+    prefers: str = ""
+    avoid: frozenset[str] = frozenset()
+    full: frozenset[str] = frozenset()
+    estimate_ms: int = 0
+    speed_limit: int | None = None
+
+    @property
+    def is_constrained(self) -> bool:
+        """Whether the task has requirements beyond resources and run time."""
+        return bool(self.requires or self.prefers or self.avoid or self.full)
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -14,6 +14,7 @@
 from .model import RunOutcome
 from .resources import NO_RESOURCES, Resources
 from .run_completions import RunCompletions
+from .speed import speed_limit
 
 CLAIM_INTERVAL_S = 0.02
 """Least seconds between two rounds of sending changed claims to all agents."""
@@ -70,6 +71,7 @@
         would otherwise stay idle.
         """
         now = self._ctx.clock.now()
+        self._compare_speeds(now)
         assignments: dict[str, list[LeasedTask]] = defaultdict(list)
         for service in self._ctx.backlog.services():
             self._place_service(service, assignments, now)
@@ -78,6 +80,25 @@
         self._return_unused()
         self._send_claims(now)
 
+    def _compare_speeds(self, now: float) -> None:
+        speeds = self._ctx.view.speeds
+        was_uneven = speeds.is_uneven
+        for change in self._ctx.view.compare_speeds(now):
+            state = change.agent.state
+            logger.bind(
+                peer=change.agent.process,
+                endpoint="" if state is None else state.incarnation,
+                factor_percent=round(100 * change.agent.factor),
+                speed_class=change.agent.speed_class,
+                before=change.before,
+                is_prior=change.is_prior,
+            ).info("endpoint speed")
+        if speeds.is_uneven != was_uneven:
+            logger.bind(uneven=speeds.is_uneven, spread_percent=round(100 * speeds.spread)).info(
+                "placement by speed"
+            )
+        self._ctx.metrics.gauge("endpoint_speed_spread_percent", round(100 * speeds.spread))
+
     def _place_service(
         self, service: str, assignments: dict[str, list[LeasedTask]], now: float
     ) -> None:
@@ -141,8 +162,12 @@
         now: float,
     ) -> bool:
         colocated = 0
+        limits: dict[int, int | None] = {}
+        level = self._ctx.view.speeds.levels.permille(job.queue.name)
         for task in job.ready_tasks():
-            request = self._request_for(job, task, now)
+            if task.step not in limits:
+                limits[task.step] = self._speed_limit(job, task, level, now)
+            request = self._request_for(job, task, limits[task.step], now)
             agent = candidates.take_last(request) if 0 < colocated < COLOCATED_TASKS else None
             colocated = colocated + 1 if agent is not None else 1
             agent = agent or candidates.take(request)
@@ -154,12 +179,21 @@
             agent.reserve(number, step.need)
             self._ctx.assigned_runs[agent.process][(task.name, run)] = job
             assignments[agent.process].append(
-                LeasedTask(task.name, run, 0, *step.need, step.estimate_ms)
+                LeasedTask(task.name, run, 0, *step.need, step.estimate_ms, level)
             )
             chosen[agent.process] += 1
         return True
 
-    def _request_for(self, job: JobState, task: TaskState, now: float) -> PlacementRequest:
+    def _speed_limit(self, job: JobState, task: TaskState, level: int, now: float) -> int | None:
+        """Slowest speed class that is fast enough for a task; None where speeds are even."""
+        if not self._ctx.view.speeds.is_uneven:
+            return None
+        expected_s = job.step_of(task).estimate_ms * (level or 1000) / 1e6
+        return speed_limit(job.time_left_s(task, now), expected_s)
+
+    def _request_for(
+        self, job: JobState, task: TaskState, limit: int | None, now: float
+    ) -> PlacementRequest:
         step = job.step_of(task)
         return PlacementRequest(
             job.queue.service,
@@ -169,6 +203,7 @@
             self._avoided_incarnations(job, task, now) if task.avoid else frozenset(),
             job.full_endpoints(task),
             step.estimate_ms,
+            limit,
         )
 
     def _avoided_incarnations(self, job: JobState, task: TaskState, now: float) -> frozenset[str]:
--- a/src/gentianmux/leased/progress.py
+++ b/src/gentianmux/leased/progress.py
@@ -13,6 +13,12 @@
 MIN_ELAPSED_S = 0.12
 """Seconds of a run before its rate is used: one report of progress, which is rounded."""
 
+PROGRESS_AGE_S = 0.1
+"""Largest age of progress when it is observed, in seconds."""
+
+MIN_PERCENT = 10.0
+"""Progress from which a run time is bounded: rounding to percents then matters little."""
+
 
 class RunProgress(NamedTuple):
     """Progress of one run.
@@ -54,3 +60,9 @@
             return None
         done = max(self.percent, 0.5) / 100
         return elapsed * 1000 / done
+
+    def least_ms(self) -> float | None:
+        """Lower bound on the run time in ms, if it goes on as it did; None while unknown."""
+        if self.percent < MIN_PERCENT:
+            return None
+        return (self.moved_at - self.began - PROGRESS_AGE_S) * 1e5 / self.percent
--- a/src/gentianmux/leased/run_completions.py
+++ b/src/gentianmux/leased/run_completions.py
@@ -54,13 +54,16 @@
             refs = [RunRef(*key) for key in sorted([*missing, *unwanted])]
             self._ctx.links.send(agent, Withdraw(refs))
 
-    def record_end(self, agent: str, name: str, run: int, how: RunOutcome) -> None:
+    def record_end(self, agent: str, name: str, run: int, how: RunOutcome, ran_ms: int = 0) -> None:
         """Record how a run of an agent ended."""
         job = self._ctx.assigned_runs[agent].pop((name, run), None)
         if job is None or not job.end_run(name, run, how):
             self._ctx.metrics.count("late_ends", label=how.name.lower())
             return
         self._ctx.metrics.count("runs_back", label=how.name.lower())
+        if how is RunOutcome.DONE:
+            estimate_ms = max(1, job.step_of(job.tasks[name]).estimate_ms)
+            self._ctx.view.record_run_time(agent, job.queue.name, ran_ms / estimate_ms)
         if how in (RunOutcome.NOT_STARTED, RunOutcome.DRAINING):
             self._ctx.view.get_or_add(agent).backoff_until = (
                 self._ctx.clock.now() + REFUSAL_BACKOFF_S
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -80,6 +80,7 @@
             return RunOutcome.NO_ROOM
         if not self._ctx.table.begin(key, entry, need, task.estimate_ms, now):
             return RunOutcome.NO_ROOM
+        self._ctx.table.runs[key].level = task.level_permille / 1000 or 1.0
         self._ctx.reporter.grants.task_cpu = need.cpu
         self._ctx.reporter.shares.demand.record_work(entry, need.cpu, task.estimate_ms, now)
         self._ctx.metrics.count("runs_started")
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -40,6 +40,8 @@
         Whether its start was sent to the endpoint; until then it is accepted only.
     carried_over : bool
         Whether it was started before the endpoint restarted: it may have run, and ended then.
+    level : float
+        Run time over estimate that is usual for its queue; multiplies the estimate.
     lease_limit : float
         Monotonic time past which the endpoint's lease is not renewed while this run may be active.
     """
@@ -59,6 +61,12 @@
     lease_limit: float = inf
     start_sent: bool = False
     progress: RunProgress = field(default_factory=lambda: RunProgress(0.0))
+    level: float = 1.0
+
+    @property
+    def expected_ms(self) -> float:
+        """Expected run time at an endpoint of mean speed, in ms."""
+        return max(1, self.estimate_ms) * self.level
 
     @property
     def confirmed(self) -> bool:
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -338,7 +338,8 @@
 class LeasedTask(NamedTuple):
     """One run of a task to start; units of resources as in ``leased.resources.Resources``.
 
-    ``payload`` is the index of its payload in the assignment.
+    ``payload`` is the index of its payload in the assignment. ``level_permille`` is the usual run
+    time over estimate of its queue, in thousandths; 0 if unknown.
     """
 
     name: str
@@ -348,6 +349,7 @@
     mem_mb: int
     gpu: int
     estimate_ms: int
+    level_permille: int = 0
 
 
 class Claim(NamedTuple):
@@ -425,6 +427,7 @@
     ``entries`` is the number of entries that share the agent. ``longest_ms`` is the longest
     estimate of a run that it still starts; an agent that shuts down starts only short ones.
     ``share_permille`` is the part of the capacity that the entry may count on; 0 if not known.
+    ``slowness_percent`` is the speed factor of the endpoint; 0 while it is not known.
     """
 
     number: int
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -87,6 +87,12 @@
     "failure_domains_evacuated": Metric(
         "gauge", "failure domains", "Failure domains that operators evacuate."
     ),
+    "endpoint_slowness_percent": Metric(
+        "gauge", "percent", "Run time over expected run time at the endpoint; 0 while unknown."
+    ),
+    "endpoint_speed_spread_percent": Metric(
+        "gauge", "percent", "Difference of the slowest and the fastest endpoint of an entry."
+    ),
     "link_window_bytes": Metric(
         "gauge",
         "bytes",
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -247,6 +247,7 @@
   memMb @4 :Int64;
   gpu @5 :Int64;
   estimateMs @6 :Int64;
+  levelPermille @7 :UInt32;
 }
 
 struct Assign {
