--- a/src/gentianmux/leased/candidates.py
+++ b/src/gentianmux/leased/candidates.py
@@ -79,6 +79,8 @@
         for speed_class in sorted(
             self._heaps, key=lambda each: preference(each, request.speed_limit)
         ):
+            if not request.allows(speed_class):
+                continue
             found = self._take_from(self._heaps[speed_class], request)
             if found is not None:
                 return found
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -327,7 +327,7 @@
             return False
         if request.requires and request.requires not in state.labels:
             return False
-        return agent.free.fits(request.need)
+        return request.allows(self.speed_class(agent)) and agent.free.fits(request.need)
 
     def _sort_key(
         self, agent: AgentView, request: PlacementRequest
--- a/src/gentianmux/leased/placement_request.py
+++ b/src/gentianmux/leased/placement_request.py
@@ -24,6 +24,8 @@
         Estimated run time in ms.
     speed_limit : int or None
         Slowest speed class in which the task is in time; None to prefer the fastest.
+    waits : bool
+        Whether the task waits for resources within the limit, in place of using slower ones.
     """
 
     service: str
@@ -34,6 +36,11 @@
     full: frozenset[str] = frozenset()
     estimate_ms: int = 0
     speed_limit: int | None = None
+    waits: bool = False
+
+    def allows(self, speed_class: int) -> bool:
+        """Whether the task may go to endpoints of a speed class."""
+        return not self.waits or self.speed_limit is None or speed_class <= self.speed_limit
 
     @property
     def is_constrained(self) -> bool:
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -53,6 +53,7 @@
         self._policies = policies
         self._is_scheduled = False
         self._claims_sent_at = 0.0
+        self._fastest_class = 0
 
     def place_soon(self) -> None:
         """Place after the current event has been handled."""
@@ -103,7 +104,9 @@
         self, service: str, assignments: dict[str, list[LeasedTask]], now: float
     ) -> None:
         view = self._ctx.view
-        candidates = Candidates(view, view.eligible(service, now))
+        eligible = view.eligible(service, now)
+        candidates = Candidates(view, eligible)
+        self._fastest_class = min((agent.speed_class for agent in eligible), default=0)
         too_large: Resources | None = None
         planned_bytes = 0
         for job in self._ctx.backlog.jobs_of(service) if len(candidates) else ():
@@ -204,6 +207,7 @@
             job.full_endpoints(task),
             step.estimate_ms,
             limit,
+            limit is not None and limit >= self._fastest_class,
         )
 
     def _avoided_incarnations(self, job: JobState, task: TaskState, now: float) -> frozenset[str]:
