--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -54,6 +54,7 @@
         self._is_scheduled = False
         self._claims_sent_at = 0.0
         self._fastest_class = 0
+        self._last_limit: int | None = None
 
     def place_soon(self) -> None:
         """Place after the current event has been handled."""
@@ -148,6 +149,7 @@
                 load_age_ms=round((now - oldest) * 1000, 1),
                 waited_ms=round((now - job.arrived_at) * 1000, 1),
                 config_version=self._ctx.feed.version,
+                speed_limit=self._last_limit,
             ).info("runs placed")
         if placed:
             self._ctx.backlog.discard(job)
@@ -170,7 +172,8 @@
         for task in job.ready_tasks():
             if task.step not in limits:
                 limits[task.step] = self._speed_limit(job, task, level, now)
-            request = self._request_for(job, task, limits[task.step], now)
+            self._last_limit = limits[task.step]
+            request = self._request_for(job, task, self._last_limit, now)
             agent = candidates.take_last(request) if 0 < colocated < COLOCATED_TASKS else None
             colocated = colocated + 1 if agent is not None else 1
             agent = agent or candidates.take(request)
--- a/src/gentianmux/leased/speed.py
+++ b/src/gentianmux/leased/speed.py
@@ -31,9 +31,9 @@
 MIN_LEVEL_RUNS = 16
 """Ended runs of a queue before its level is used; of several jobs."""
 
-LEVEL_RUNS = 256
-"""Ended runs over which the level of a queue is averaged: slower than the factors of endpoints, so
-that both do not follow each other."""
+LEVEL_RUNS = 64
+"""Ended runs over which the level of a queue is averaged: some 16 jobs, and few enough that levels
+learned before the factors of endpoints are known are soon replaced."""
 
 MAX_QUEUES = 4096
 """Queues whose level is kept; the one that was added first is dropped beyond it."""
