--- a/src/gentianmux/leased/admission_controller.py
+++ b/src/gentianmux/leased/admission_controller.py
@@ -111,6 +111,11 @@
             self._ctx.metrics.count("jobs_kept_in_vain", label=job.timeliness.value)
             self._ctx.give_up(job, "waited until its answer would be of no use")
         for job, load in decision.refused:
+            if self._can_take_any(job, now):
+                job.takes_any = True
+                # Placed in this tick, or else decided again in the next one.
+                self.policies[job.queue.service].next_decision_at = now
+                continue
             logger.bind(
                 job=job.spec.job_id,
                 ahead_cpu_s=round(load.ahead_cpu_s, 2),
@@ -122,6 +127,17 @@
             ).info("refusal decided")
             self._ctx.give_up(job, "its answer would be of no use", retry_after_s(load))
 
+    def _can_take_any(self, job: JobState, now: float) -> bool:
+        """Whether a job, in place of being refused, fits free resources that are too slow for it.
+
+        It may have waited for faster ones, while others have overtaken it.
+        """
+        view = self._ctx.view
+        if not view.speeds.is_uneven or job.takes_any:
+            return False
+        free_cpu = sum(agent.free.cpu for agent in view.eligible(job.queue.service, now))
+        return free_cpu >= job.demand.total.cpu
+
     def _refuse_without_agents(self, service: str, jobs: list[JobState], now: float) -> None:
         if self._ctx.view.is_evacuated(service, now):
             # An evacuation lasts longer than any job may wait.
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -235,10 +235,12 @@
         """Agents that serve a service and have not refused a run lately."""
         return [agent for agent in self.serving(service, now) if now >= agent.backoff_until]
 
+    def are_speeds_due(self, now: float) -> bool:
+        """Whether the speeds of agents have to be compared again."""
+        return self.speeds.is_due(len(self._order), now)
+
     def compare_speeds(self, now: float) -> list[SpeedChange]:
-        """Compare the speeds of agents when it is due, and return those that have changed."""
-        if not self.speeds.is_due(len(self._order), now):
-            return []
+        """Compare the speeds of agents, and return those that have changed."""
         return self.speeds.refresh(self._order, now, SLOWNESS_STEP)
 
     def record_run_time(self, process: str, queue: str, ratio: float) -> None:
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -126,6 +126,8 @@
         Whether any run of it may have started.
     failed : bool
         Whether a task has failed too often.
+    takes_any : bool
+        Whether it no longer waits for an endpoint that is fast enough, as it would be refused.
 
     Examples
     --------
@@ -151,6 +153,7 @@
         self.timeliness = Timeliness.OPEN
         self.may_have_run = False
         self.failed = False
+        self.takes_any = False
         self.tasks: dict[str, TaskState] = {}
         for number, step in enumerate(spec.steps):
             for index in range(step.tasks):
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -84,6 +84,8 @@
 
     def _compare_speeds(self, now: float) -> None:
         speeds = self._ctx.view.speeds
+        if not self._ctx.view.are_speeds_due(now):
+            return
         was_uneven = speeds.is_uneven
         for change in self._ctx.view.compare_speeds(now):
             state = change.agent.state
@@ -95,11 +97,11 @@
                 before=change.before,
                 is_prior=change.is_prior,
             ).info("endpoint speed")
+        self._ctx.metrics.gauge("endpoint_speed_spread_percent", round(100 * speeds.spread))
         if speeds.is_uneven != was_uneven:
             logger.bind(uneven=speeds.is_uneven, spread_percent=round(100 * speeds.spread)).info(
                 "placement by speed"
             )
-        self._ctx.metrics.gauge("endpoint_speed_spread_percent", round(100 * speeds.spread))
 
     def _place_service(
         self, service: str, assignments: dict[str, list[LeasedTask]], now: float
@@ -210,7 +212,7 @@
             job.full_endpoints(task),
             step.estimate_ms,
             limit,
-            limit is not None and limit >= self._fastest_class,
+            limit is not None and limit >= self._fastest_class and not job.takes_any,
         )
 
     def _avoided_incarnations(self, job: JobState, task: TaskState, now: float) -> frozenset[str]:
