--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -269,6 +269,22 @@
     assert patient.spec.job_id in slow
 
 
+def test_a_job_that_waits_for_a_fast_endpoint_is_not_refused_while_a_slow_one_is_free() -> None:
+    """Guards against refusals that callers get while endpoints that would serve them are idle."""
+    world = ready_world(agents=2)
+    world.machines["w0"].endpoint.speed = 0.5
+    world.machines["w1"].endpoint.speed = 2.0
+    for _ in range(10):
+        world.submit("e0", tasks=8, run_s=0.1)
+        world.run(0.5)
+    for _ in range(10):
+        world.submit("e0", run_s=2.0, queue=QUEUE._replace(stretch=1.1))
+    waiting = [world.submit("e0", run_s=0.4) for _ in range(9)]
+    assert world.machines["w0"].endpoint.active == {}
+    world.run(2.0)
+    assert [outcome(each) for each in waiting] == [JobOutcome.COMPLETED] * 9
+
+
 def test_uneven_speeds_are_served_better_than_with_speed_ignored(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
