--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -146,7 +146,8 @@
             self.reporter.record_ended(run.entry, *run.key, how, int(ran_s * 1000))
         for entry in {run.entry for run, _ in finished}:
             self.reporter.send_ended(entry)
-        self._note_speed(before, now)
+        if finished:
+            self._note_speed(before, now)
         if self.health.is_ejected(now):
             self.reporter.schedule_report()
 
--- a/src/gentianmux/leased/run_monitor.py
+++ b/src/gentianmux/leased/run_monitor.py
@@ -1,5 +1,7 @@
 """Monitors the runs at an agent's endpoint and stops those that will not end in time."""
 
+from loguru import logger
+
 from .agent_context import AgentContext
 from .model import RunOutcome
 from .progress import SLOW_FACTOR, STALL_TIMEOUT_S
@@ -50,13 +52,23 @@
         slow = [run for run in running if run.began >= resumed_at and self._is_slow(run, now)]
         bounds = ((run.progress.least_ms(), run.expected_ms) for run in running)
         ratios = [least / expected for least, expected in bounds if least is not None]
-        self._ctx.health.speed.observe_running(ratios, len(running))
+        self._observe_speed(ratios, len(running), now)
         slow = [run for run in running if self._is_slow(run, now)]
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self._ctx.health.eject(now)
         if self._ctx.health.is_ejected(now):
             self._ctx.reporter.schedule_report()
 
+    def _observe_speed(self, ratios: list[float], running: int, now: float) -> None:
+        """Compare the speed of active runs with that of the ended ones, and log when it differs."""
+        speed = self._ctx.health.speed
+        before = speed.running_ratio
+        speed.observe_running(ratios, running)
+        if bool(before) != bool(speed.running_ratio):
+            logger.bind(
+                percent=speed.percent(now), ended_percent=round(100 * speed.factor()), runs=running
+            ).info("speed of active runs changed")
+
     def _is_slow(self, run: Run, now: float) -> bool:
         run_time_ms = run.progress.projected_ms(now)
         return (
--- a/src/gentianmux/leased/speed.py
+++ b/src/gentianmux/leased/speed.py
@@ -51,7 +51,7 @@
 """Distance from the centre of its speed class, in classes, at which an endpoint leaves it: more
 than half, so that noise does not move it to and fro."""
 
-SPEED_MARGIN = 1.15
+SPEED_MARGIN = 1.1
 """Margin on expected run times: a job ends with its last task, which takes longer than the mean.
 The error of the estimate is not part of it, as it is the same for run time and objective."""
 
@@ -69,6 +69,8 @@
     ----------
     changes : int
         Number of changes of speed that were detected.
+    running_ratio : float
+        Ratio of the active runs while they are much slower than the ended ones; else 0.
 
     Examples
     --------
@@ -87,7 +89,7 @@
         self.changes = 0
         self._logs: deque[float] = deque(maxlen=SPEED_RUNS)
         self._ended_at = float("-inf")
-        self._running = 0.0
+        self.running_ratio = 0.0
 
     def ended(self, ratio: float, now: float) -> None:
         """Record the run time over expected run time of a run that has ended."""
@@ -124,12 +126,12 @@
         running : int
             Number of active runs.
         """
-        self._running = 0.0
+        self.running_ratio = 0.0
         if len(ratios) < 2 or len(ratios) * 2 <= running:
             return
         typical = median(ratios)
         if typical > CHANGE_RATIO * self.factor():
-            self._running = typical
+            self.running_ratio = typical
 
     def factor(self) -> float:
         """Run time over expected run time of the ended runs; 1.0 while there are none."""
@@ -137,8 +139,8 @@
 
     def percent(self, now: float) -> int:
         """Factor in percent as reported to entries; 0 while it is not known."""
-        if self._running:
-            return round(100 * self._running)
+        if self.running_ratio:
+            return round(100 * self.running_ratio)
         # After a change three runs are enough, since they agree.
         needed = MIN_RUNS if not self.changes else RECENT_RUNS // 2 + 1
         if len(self._logs) < needed or now - self._ended_at > FORGET_S:
