--- a/src/gentianmux/leased/speed.py
+++ b/src/gentianmux/leased/speed.py
@@ -8,21 +8,21 @@
 
 from ..messages import EndpointState
 
-MIN_RUNS = 4
-"""Ended runs before a factor is known: fewer may all be of one job, and share the error of its
-estimate."""
+MIN_RUNS = 16
+"""Ended runs before a factor is known: fewer may be of one or two jobs, whose tasks share the error
+of an estimate, and would make even endpoints look uneven."""
 
-SPEED_RUNS = 32
-"""Ended runs over which the factor is averaged: some 16 jobs, whose errors of 40 % then leave less
-than half of a speed class."""
+SPEED_RUNS = 64
+"""Ended runs over which the factor is averaged: some 16 jobs of four tasks each, whose errors of
+40 % then leave less than half of a speed class."""
 
 RECENT_RUNS = 5
 """Runs that are compared with those before them. A change shows after three of them; one or two may
 be outliers."""
 
-CHANGE_RATIO = 1 / 0.6
+CHANGE_RATIO = 2.0
 """Ratio of recent run times to earlier ones from which the speed has changed: an estimate that is
-40 % too low explains no more."""
+40 % too low, and tasks of a job that take a sixth longer than their mean, explain no more."""
 
 FORGET_S = 10.0
 """Seconds without an ended run after which a factor is no longer known: an endpoint that was slow,
