--- a/bench/leased_load.py
+++ b/bench/leased_load.py
@@ -282,6 +282,7 @@
         ways["beside free"] / len(asked),
         mean(by_traffic[-1]),
         mean(by_traffic[0]),
+        nan,
         *(ways[f"in p{each}"] / (ways[f"all p{each}"] or nan) for each in range(3)),
     )
 
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -129,8 +129,7 @@
             if how in (RunOutcome.DONE, RunOutcome.FAILED):
                 # A run time that includes a suspension does not tell how fast the endpoint is.
                 is_measured = how is RunOutcome.DONE and run.began >= self.clock.resumed_at
-                ratio = ran_s * 1000 / max(1, run.estimate_ms) if is_measured else None
-                ratio = ran_s * 1000 / run.expected_ms if how is RunOutcome.DONE else None
+                ratio = ran_s * 1000 / run.expected_ms if is_measured else None
                 self.health.ended(job_id_of(run.key[0]), how is RunOutcome.FAILED, ratio, now)
             self.metrics.count("runs_ended", label=how.name.lower())
             self.metrics.observe("run_seconds", ran_s, label=how.name.lower())
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -260,31 +260,24 @@
         )
 
     def capacity_cpu(self, service: str, now: float) -> float:
-        """Cores of all endpoints that serve a service; extrapolated in a large fleet."""
-        known = sum(_capacity_of(agent).cpu for agent in self.serving(service, now))
+        """Cores of all endpoints that serve a service; extrapolated in a large fleet.
+
+        A core of a fast endpoint counts more, by its speed factor.
+        """
+        known = sum(_work_cpu(agent) for agent in self.serving(service, now))
         return self._extrapolated(known) + self.expected_cpu(service, now)
 
     def countable_cpu(self, service: str, now: float) -> float:
         """Cores that this entry can count on: its shares, even ones where unknown."""
         serving = self.serving(service, now)
-        unknown = sum(_capacity_of(agent).cpu for agent in serving if not agent.share_permille)
+        unknown = sum(_work_cpu(agent) for agent in serving if not agent.share_permille)
         even = self._extrapolated(unknown) + self.expected_cpu(service, now)
-        by_share = sum(_capacity_of(agent).cpu * agent.share_permille for agent in serving)
+        by_share = sum(_work_cpu(agent) * agent.share_permille for agent in serving)
         return even / max(1, self.entries(now)) + self._extrapolated(by_share / 1000)
 
     def _extrapolated(self, cpu: float) -> float:
         """Cores of the whole fleet, from thousandths of a core of the sampled agents."""
         return cpu / 1000 * max(1.0, len(self._order) / MAX_AGENTS_PER_ROUND)
-        """Cores of all endpoints that serve a service; extrapolated in a large fleet.
-
-        A core of a fast endpoint counts more, by its speed factor.
-        """
-        serving = self.serving(service, now)
-        sampled = max(1, min(len(self._order), MAX_AGENTS_PER_ROUND))
-        known = (
-            sum(_capacity_of(a).cpu / a.factor for a in serving) / 1000 * len(self._order) / sampled
-        )
-        return known + self.expected_cpu(service, now)
 
     def expected_cpu(self, service: str, now: float) -> float:
         """Cores of announced agents that have not reported yet."""
@@ -357,3 +350,8 @@
 def _capacity_of(agent: AgentView) -> Resources:
     state = agent.state
     return NO_RESOURCES if state is None else Resources(state.cpu, state.mem_mb, state.gpu)
+
+
+def _work_cpu(agent: AgentView) -> float:
+    """Capacity in work: thousandths of a core of an endpoint of mean speed."""
+    return _capacity_of(agent).cpu / agent.factor
--- a/src/gentianmux/leased/run_monitor.py
+++ b/src/gentianmux/leased/run_monitor.py
@@ -49,11 +49,11 @@
         if stalled:
             self._ctx.metrics.count("runs_stalled", len(stalled))
             self._ctx.health.stalled(len(stalled), now)
-        slow = [run for run in running if run.began >= resumed_at and self._is_slow(run, now)]
-        bounds = ((run.progress.least_ms(), run.expected_ms) for run in running)
+        measured = [run for run in running if run.began >= resumed_at]
+        bounds = ((run.progress.least_ms(), run.expected_ms) for run in measured)
         ratios = [least / expected for least, expected in bounds if least is not None]
-        self._observe_speed(ratios, len(running), now)
-        slow = [run for run in running if self._is_slow(run, now)]
+        self._observe_speed(ratios, len(measured), now)
+        slow = [run for run in measured if self._is_slow(run, now)]
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self._ctx.health.eject(now)
         if self._ctx.health.is_ejected(now):
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -72,7 +72,7 @@
     world.run(0.1)
     entry = world.entries["e0"].entry
     assert entry is not None
-    entry.cancel("a" * 16)
+    entry.canceller.cancel("a" * 16)
     set_capacity(world, SHRUNK)
     world.submit("e0", tasks=1, run_s=0.1)
     world.run(0.3)
