--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -1,29 +1,21 @@
 """Runs the tasks that entries assign at the endpoint beside the agent."""
 
 from collections.abc import Callable
-from functools import partial, singledispatchmethod
+from functools import partial
 from typing import Any
 
 import gevent
-from loguru import logger
 
 from ..clock import Clock, run_periodically
 from ..messages import (
-    Assign,
-    Cancelled,
-    ConfigPiece,
-    ConfigWanted,
     EndpointState,
-    Evacuated,
     Hello,
     Holding,
-    LoadEcho,
-    Message,
     RunRef,
-    Withdraw,
 )
 from ..metrics import Metrics
 from .agent_context import AgentContext, job_id_of
+from .agent_messages import AgentMessages
 from .agent_shutdown import AgentShutdown
 from .cancel_broadcast import CancelBroadcast
 from .config_feed import ConfigFeed
@@ -40,9 +32,7 @@
 from .model import (
     EndpointDriver,
     EndpointReport,
-    RunOutcome,
 )
-from .payloads import decode_payload
 from .resources import NO_RESOURCES, Resources
 from .run_monitor import RunMonitor
 from .run_starter import RunStarter
@@ -76,6 +66,8 @@
 
     Attributes
     ----------
+    on_message : callable
+        Handles a message of an entry.
     shutdown : AgentShutdown
         Drains the agent when its process has to stop.
 
@@ -124,6 +116,13 @@
         ctx.poller = EndpointPoller(driver, ctx.table, metrics, clock, ctx.lease_s, hooks)
         ctx.reporter = EntryReporter(links, clock, self._current_load, ctx.has_runs_of)
         self.shutdown = AgentShutdown(ctx, self._starter, self._stopper, self._send_state)
+        self.on_message = AgentMessages(
+            ctx,
+            self._starter,
+            self._stopper,
+            self._config_transfer,
+            self._evacuation_broadcast,
+        ).handle
         self._leases = ctx.reporter.leases
         links.on_open = self._on_open
         links.on_close = self._on_close
@@ -253,69 +252,6 @@
 
     # Runs
 
-    @singledispatchmethod
-    def on_message(self, msg: Message, entry: str) -> None:
-        """Handle a message of an entry."""
-        logger.bind(peer=entry).warning("{} is not handled", type(msg).__name__)
-
-    @on_message.register
-    def _(self, msg: Assign, entry: str) -> None:
-        now = self._ctx.clock.now()
-        self._ctx.reporter.record_echo(entry, msg.echo)
-        self._ctx.reporter.applied[entry] = max(
-            msg.number, self._ctx.reporter.applied.get(entry, 0)
-        )
-        has_lease = self._leases.holds(entry, now)
-        refused = False
-        payloads = [decode_payload(payload) for payload in msg.payloads]
-        for task in msg.tasks:
-            payload = payloads[task.payload]
-            how = (
-                self._starter.accept(task, payload, entry) if has_lease else RunOutcome.NOT_STARTED
-            )
-            if how is not None:
-                refused = True
-                self._ctx.metrics.count("runs_refused", label=how.name.lower())
-                logger.bind(
-                    task=task.name,
-                    run=task.run,
-                    peer=entry,
-                    how=how.name.lower(),
-                    chain_holds=has_lease,
-                    free_cpu=self._ctx.table.resources.free.cpu,
-                    accepting=self._ctx.is_accepting,
-                ).info("run not begun")
-                self._ctx.reporter.record_ended(entry, task.name, task.run, how, 0)
-        self._ctx.reporter.send_ended(entry)
-        self._ctx.reporter.on_assignment(entry, refused, msg.claims)
-
-    @on_message.register
-    def _(self, msg: Withdraw, entry: str) -> None:
-        for ref in msg.runs:
-            key = (ref.task, ref.run)
-            run = self._ctx.table.runs.get(key)
-            if run is not None and run.entry == entry:
-                self._stopper.stop_in_time(key, "withdrawn", self._ctx.clock.now())
-            else:
-                self._starter.withdraw(key, entry)
-        self._stopper.send_due_stops()
-        self._ctx.reporter.send_ended(entry)
-
-    @on_message.register
-    def _(self, msg: LoadEcho, entry: str) -> None:
-        self._ctx.reporter.record_echo(entry, msg.number)
-        self._ctx.reporter.acknowledge(entry, msg.seen)
-        self._ctx.reporter.on_claims(entry, msg.claims, msg.gives_back)
-        self._config_transfer.on_version(entry, msg.config_version)
-
-    @on_message.register
-    def _(self, msg: Evacuated, entry: str) -> None:
-        self._evacuation_broadcast.take(msg, entry)
-
-    @on_message.register
-    def _(self, msg: Cancelled, entry: str) -> None:
-        self._ctx.cancel_broadcast.take(msg, entry)
-
     def _on_cancelled(self, job_ids: list[str]) -> None:
         """Stop the runs of jobs that were cancelled at any entry."""
         now = self._ctx.clock.now()
@@ -329,14 +265,6 @@
         self._send_state()
         self._ctx.reporter.schedule_report()
 
-    @on_message.register
-    def _(self, msg: ConfigWanted, entry: str) -> None:
-        self._config_transfer.on_wanted(msg, entry)
-
-    @on_message.register
-    def _(self, msg: ConfigPiece, entry: str) -> None:
-        self._config_transfer.take(msg, entry)
-
     def check_entry_leases(self) -> None:
         """Stop the runs of entries whose lease has expired, and reopen silent connections."""
         now = self._ctx.clock.now()
