Wording after a first reading; an overflow of cancelled jobs does not spread

Change: only remembered ids are reported, others are refused as not run; free resources count for one job each; a cancel is always forgotten after its wait. Docstrings say what they mean.

--- a/src/gentianmux/clock.py
+++ b/src/gentianmux/clock.py
@@ -26,7 +26,7 @@
 
 
 def boot_time() -> float:
-    """Seconds since boot, those included in which the machine was suspended.
+    """Seconds since boot, including suspensions of the machine.
 
     Every lease, fence and deadline uses this clock. ``CLOCK_MONOTONIC`` stands still while a
     machine is suspended, and a lease that expired meanwhile would look valid afterwards. It is the
--- a/src/gentianmux/leased/admission_controller.py
+++ b/src/gentianmux/leased/admission_controller.py
@@ -13,7 +13,7 @@
 )
 from .entry_context import EntryContext
 from .job_state import JobState, Timeliness
-from .offered_capacity import OfferedCapacity, keep_fitting
+from .offered_capacity import OfferedCapacity, keep_fitting, needs_of
 
 NO_AGENT_TIMEOUT_S = 0.5
 """Seconds for which a job waits while no agent serves its service; a restarted agent needs less."""
@@ -78,7 +78,7 @@
     def _keep_fitting(
         self, service: str, decision: Decision, jobs: list[JobState], now: float
     ) -> None:
-        """Keep refused jobs that fit the capacity on offer; count others that are beside some."""
+        """Revoke refusals of jobs that fit the offered resources, and count those beside some."""
         view = self._ctx.view
         eligible = [a for a in view.eligible(service, now) if not a.is_shutting_down]
         offered = OfferedCapacity(agent.free for agent in eligible)
@@ -110,11 +110,9 @@
         for job in decision.expired:
             self._ctx.metrics.count("jobs_kept_in_vain", label=job.timeliness.value)
             self._ctx.give_up(job, "waited until its answer would be of no use")
+        spared = self._let_use_slow_endpoints(decision, now)
         for job, load in decision.refused:
-            if self._can_take_any(job, now):
-                job.takes_any = True
-                # Placed in this tick, or else decided again in the next one.
-                self.policies[job.queue.service].next_decision_at = now
+            if job in spared:
                 continue
             logger.bind(
                 job=job.spec.job_id,
@@ -127,16 +125,25 @@
             ).info("refusal decided")
             self._ctx.give_up(job, "its answer would be of no use", retry_after_s(load))
 
-    def _can_take_any(self, job: JobState, now: float) -> bool:
-        """Whether a job, in place of being refused, fits free resources that are too slow for it.
+    def _let_use_slow_endpoints(self, decision: Decision, now: float) -> set[JobState]:
+        """Let jobs that would be refused use free resources that are too slow for them.
 
-        It may have waited for faster ones, while others have overtaken it.
+        They may have waited for faster ones, while others have overtaken them. They are placed in
+        this tick, or else decided again in the next one.
         """
         view = self._ctx.view
-        if not view.speeds.is_uneven or job.takes_any:
-            return False
-        free_cpu = sum(agent.free.cpu for agent in view.eligible(job.queue.service, now))
-        return free_cpu >= job.demand.total.cpu
+        jobs = [refusal.job for refusal in decision.refused if not refusal.job.takes_any]
+        if not view.speeds.is_uneven or not jobs:
+            return set()
+        service = jobs[0].queue.service
+        offered = OfferedCapacity(agent.free for agent in view.eligible(service, now))
+        spared = {
+            job for job in jobs if offered.has_all(needs_of(job)) and offered.take(needs_of(job))
+        }
+        for job in spared:
+            job.takes_any = True
+            self.policies[service].next_decision_at = now
+        return spared
 
     def _refuse_without_agents(self, service: str, jobs: list[JobState], now: float) -> None:
         if self._ctx.view.is_evacuated(service, now):
--- a/src/gentianmux/leased/agent_shutdown.py
+++ b/src/gentianmux/leased/agent_shutdown.py
@@ -11,7 +11,7 @@
 
 SHUTDOWN_GRACE_S = 0.05
 """How long a drained agent still refuses assignments that are in flight, before it exits:
-ten one-way delays between failure domains, and some for a busy processor."""
+ten one-way delays between failure domains, plus a margin for a busy processor."""
 
 CHECK_INTERVAL_S = 0.02
 """Interval of the checks whether runs are left."""
@@ -82,7 +82,7 @@
         self._send_state()
         self._stop_remaining()
         last = self._ctx.clock.now() + LAST_REPORTS_TIMEOUT_S
-        while self._has_open_ends() and self._ctx.clock.now() < last:
+        while self._has_unreported_runs() and self._ctx.clock.now() < last:
             gevent.sleep(CHECK_INTERVAL_S)
 
     def _stop_remaining(self) -> None:
@@ -90,6 +90,6 @@
             self._stopper.stop(key, RunOutcome.STOPPED, "the agent shuts down")
         self._stopper.send_due_stops()
 
-    def _has_open_ends(self) -> bool:
-        """Whether runs are left, or ends that entries have not acknowledged."""
+    def _has_unreported_runs(self) -> bool:
+        """Whether runs are active, or ends that entries have not acknowledged."""
         return bool(self._ctx.table.runs) or self._ctx.reporter.has_unacknowledged
--- a/src/gentianmux/leased/cancel_broadcast.py
+++ b/src/gentianmux/leased/cancel_broadcast.py
@@ -12,20 +12,21 @@
 from .links import Links
 
 RELAY_DELAY_S = 0.01
-"""Delay that combines cancels which a process passes on; a wave of them costs few messages."""
+"""Delay before cancelled jobs are passed on, which combines many into one message."""
 
 UNCONFIRMED_NUMBER = 0
-"""Number of messages whose receipt need not be confirmed."""
+"""Number of a message that needs no ``CancelledSeen``."""
 
 MAX_JOBS_PER_MESSAGE = 1000
 """Cancelled jobs in one message, 16 KB."""
 
 
 class CancelBroadcast:
-    """Sends cancelled jobs to every peer, once, and when its connection opens.
+    """Sends cancelled jobs to every peer, at once and when a connection opens.
 
-    Agents check each start against what they remember. An entry therefore needs no message to find
-    out whether a job is new, and a cancel costs two messages per connection of the deployment.
+    Every process passes on what it learns, so that a cancel also reaches peers without a direct
+    connection. An agent checks each start against the cancelled jobs, so an entry need not ask
+    other processes before it starts a job.
 
     Parameters
     ----------
@@ -100,8 +101,12 @@
         self._send(process, self.cancellations.job_ids(self._clock.now()))
 
     def send_one(self, process: str, job_id: str) -> None:
-        """Send a cancelled job to a peer that tries to start it."""
-        self._send(process, [job_id])
+        """Send a cancelled job to a peer that tries to start it.
+
+        One that only may have been cancelled is not sent: peers would take it for cancelled.
+        """
+        if job_id in self.cancellations:
+            self._send(process, [job_id])
 
     def _relay(self) -> None:
         by_origin: dict[str, list[str]] = defaultdict(list)
--- a/src/gentianmux/leased/cancellations.py
+++ b/src/gentianmux/leased/cancellations.py
@@ -18,8 +18,8 @@
 class Cancellations:
     """Remembers cancelled jobs for ``RETENTION_S``; pure.
 
-    When more are cancelled than can be remembered, ``holds`` is true of every job until the
-    forgotten ones would have expired: a job that may have been cancelled is never started.
+    If more than ``MAX_CANCELLED`` are cancelled, the oldest are dropped, and ``holds`` is true of
+    every job until the last dropped one would have expired.
 
     Examples
     --------
@@ -39,6 +39,9 @@
     def __len__(self) -> int:
         return len(self._expires_at)
 
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._expires_at
+
     def add(self, job_id: str, now: float) -> bool:
         """Remember a cancelled job; whether it was not known before."""
         self._drop_expired(now)
--- a/src/gentianmux/leased/demand_shares.py
+++ b/src/gentianmux/leased/demand_shares.py
@@ -7,8 +7,8 @@
 """The whole capacity of an endpoint, in the unit of shares."""
 
 RESERVED_PERMILLE = 10
-"""Part that is not shared by demand. A report says at least 1, since 0 means that the share is not
-known, also to an entry whose share is not free yet."""
+"""Part that is not shared out. A report says at least 1, as 0 means that the share is not known,
+even if all is reserved for other entries; this part covers up to ten such reports."""
 
 MIN_SHARE_RATIO = 0.5
 """Part of an even share that each entry keeps, so that a burst at a quiet entry is not refused."""
@@ -22,8 +22,8 @@
 little is known, and become even as demand is forgotten."""
 
 WAITING_RATIO = 0.5
-"""Bound on the waiting demand of all entries, as a part of the capacity. Claims are sent to every
-agent, so that at one agent they would outweigh the work assigned there."""
+"""Bound on the demand of claims counted at one agent, as a part of its capacity. An entry sends its
+claims to every agent, so at each they are counted in full."""
 
 
 def shares_by_demand(demand: Mapping[str, float]) -> dict[str, int]:
--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -19,8 +19,8 @@
 """Number of a report that was read from an announcement; heartbeats count from 1."""
 
 SETTLE_S = 0.1
-"""Seconds after a resume in which a heartbeat may have been sent before the suspension: it waited
-in a socket, and the event loop reads all of those in its first rounds."""
+"""Seconds after a resume during which a heartbeat does not confirm the endpoint: it may have waited
+in a socket since before the suspension."""
 
 MAX_LOGGED_WRITERS = 100
 """Senders of unreadable heartbeats that are remembered, so that each is logged once."""
@@ -166,10 +166,10 @@
     def handle_shutdown_notice(self, endpoint: str, born: int) -> None:
         """Handle a shutdown notice; ``born`` is 0 if it does not carry the endpoint's start.
 
-        The notice is no proof that the endpoint has ended: without a response to it, the endpoint
-        stays for some seconds. Its runs get no longer lease, and end as polls list them or once
-        every lease has expired. A notice of an earlier incarnation may be late and is ignored:
-        otherwise active runs of the current one would be given up.
+        The endpoint may still run tasks: if its notice is not answered, it exits some seconds
+        later. Leases are not renewed any more. Runs end when a poll reports it, or when all leases
+        have expired. A late notice of an earlier incarnation is ignored, since it would give up
+        runs of the current one.
         """
         known = self.report
         if known is None or known.endpoint != endpoint:
@@ -196,7 +196,7 @@
     def detach(self, reason: str) -> None:
         """Record that the endpoint is gone, and end all of its runs.
 
-        Only for an endpoint in whose place another one answers, or that has no runs left.
+        Only for an endpoint that another one has replaced, or that has no runs left.
         """
         if not self._tracked_id:
             return
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -268,7 +268,7 @@
         return self._extrapolated(known) + self.expected_cpu(service, now)
 
     def countable_cpu(self, service: str, now: float) -> float:
-        """Cores that this entry can count on: its shares, even ones where unknown."""
+        """Cores that this entry may use, weighted by speed: reported shares, or else even ones."""
         serving = self.serving(service, now)
         unknown = sum(_work_cpu(agent) for agent in serving if not agent.share_permille)
         even = self._extrapolated(unknown) + self.expected_cpu(service, now)
@@ -353,5 +353,5 @@
 
 
 def _work_cpu(agent: AgentView) -> float:
-    """Capacity in work: thousandths of a core of an endpoint of mean speed."""
+    """Capacity weighted by speed: thousandths of a core of an endpoint of mean speed."""
     return _capacity_of(agent).cpu / agent.factor
--- a/src/gentianmux/leased/job_canceller.py
+++ b/src/gentianmux/leased/job_canceller.py
@@ -19,6 +19,7 @@
 """Retry delay of a cancel that cannot be remembered at present."""
 
 _CANCELLED = JobResult(JobOutcome.CANCELLED, "cancelled by its caller")
+_MAYBE_CANCELLED = JobResult(JobOutcome.NOT_RUN, "it may have been cancelled", 1)
 
 
 class PendingCancel:
@@ -98,13 +99,17 @@
         self._pending = {n: each for n, each in self._pending.items() if each is not pending}
 
     def finished_handle(self, spec: JobSpec, queue: QueueConfig, now: float) -> JobHandle | None:
-        """Handle of a job that was cancelled before it arrived; None for any other."""
-        if not self.broadcast.cancellations.holds(spec.job_id, now):
+        """Handle of a job that was, or may have been, cancelled before; None for any other."""
+        cancellations = self.broadcast.cancellations
+        if not cancellations.holds(spec.job_id, now):
             return None
+        result = _CANCELLED if spec.job_id in cancellations else _MAYBE_CANCELLED
         self._ctx.metrics.count("jobs_cancelled_before")
-        logger.bind(job=spec.job_id, queue=queue.name).info("job was cancelled before")
+        logger.bind(job=spec.job_id, queue=queue.name, outcome=result.outcome.value).info(
+            "job was cancelled before"
+        )
         handle = JobHandle(JobState(spec, queue, now, now))
-        handle.result = _CANCELLED
+        handle.result = result
         handle.done.set()
         return handle
 
--- a/src/gentianmux/leased/offered_capacity.py
+++ b/src/gentianmux/leased/offered_capacity.py
@@ -1,4 +1,4 @@
-"""Free capacity on offer in one decision pass, each part of which is counted for one job."""
+"""Packs waiting jobs into the free resources that agents offer."""
 
 from collections.abc import Iterable
 
@@ -8,7 +8,7 @@
 
 
 class OfferedCapacity:
-    """Takes the tasks of waiting jobs into account, in the order in which they are placed; pure.
+    """Free resources that agents offer, from which tasks are deducted in order of placement; pure.
 
     Parameters
     ----------
@@ -29,11 +29,6 @@
     def __init__(self, free: Iterable[Resources]) -> None:
         self._free = [each for each in free if each.cpu > 0]
 
-    @property
-    def cpu(self) -> int:
-        """What is left, in thousandths of a core."""
-        return sum(each.cpu for each in self._free)
-
     def holds(self, need: Resources) -> bool:
         """Whether what is left at any agent is enough for a task."""
         return any(each.fits(need) for each in self._free)
@@ -43,7 +38,7 @@
         return OfferedCapacity(self._free).take(needs)
 
     def take(self, needs: Iterable[Resources]) -> bool:
-        """Take capacity for as many tasks as fit; whether all of them do."""
+        """Deduct as many of the tasks as fit; return whether all of them did."""
         fitted = [self._take(need) for need in needs]
         return all(fitted)
 
@@ -58,7 +53,7 @@
 def keep_fitting(
     decision: Decision, waiting: Iterable[JobState], offered: OfferedCapacity
 ) -> list[JobState]:
-    """Move refused jobs whose tasks all fit what is on offer now to those served in time; pure.
+    """Move refused jobs whose tasks all fit the offered resources to ``decision.timely``.
 
     Parameters
     ----------
@@ -78,16 +73,17 @@
     refused = {refusal.job: refusal for refusal in decision.refused}
     for job in waiting:
         if job not in refused:
-            offered.take(_needs_of(job))
-        elif not _is_constrained(job) and offered.has_all(_needs_of(job)):
-            offered.take(_needs_of(job))
+            offered.take(needs_of(job))
+        elif not _is_constrained(job) and offered.has_all(needs_of(job)):
+            offered.take(needs_of(job))
             decision.refused.remove(refused[job])
             decision.timely.append(job)
             kept.append(job)
     return kept
 
 
-def _needs_of(job: JobState) -> list[Resources]:
+def needs_of(job: JobState) -> list[Resources]:
+    """Resources of each task of a job that may begin now."""
     return [job.step_of(task).need for task in job.ready_tasks()]
 
 
--- a/src/gentianmux/leased/placement_request.py
+++ b/src/gentianmux/leased/placement_request.py
@@ -23,9 +23,10 @@
     estimate_ms : int
         Estimated run time in ms.
     speed_limit : int or None
-        Slowest speed class in which the task is in time; None to prefer the fastest.
+        Slowest speed class that ends the task in time; None to prefer the fastest.
     waits : bool
-        Whether the task waits for resources within the limit, in place of using slower ones.
+        Whether endpoints slower than ``speed_limit`` are excluded, so that the task waits for a
+        faster one.
     """
 
     service: str
--- a/src/gentianmux/leased/reported_shares.py
+++ b/src/gentianmux/leased/reported_shares.py
@@ -1,4 +1,4 @@
-"""Shares that an agent has reported, of which entries may believe more than the newest."""
+"""Shares that an agent has reported to entries and that entries may still use."""
 
 from dataclasses import dataclass
 
@@ -16,11 +16,11 @@
 
 
 class ReportedShares:
-    """Raises an entry's share only by what no other entry may still count on; pure.
+    """Limits reported shares so that all shares in use never exceed the capacity; pure.
 
-    An entry uses the share of the newest report that it has received. The agent knows only the one
-    that was echoed last, so the largest share reported since then counts as taken, for as long as
-    an echo of its report would renew the entry's lease.
+    An entry uses the share of the newest report that it has received, and the agent learns from an
+    echo which one that is. Until then the largest share reported since the last echo is reserved
+    for the entry, at most for ``ENTRY_LEASE_S``. Other entries get what is not reserved.
 
     Examples
     --------
@@ -40,7 +40,9 @@
         self._taken: dict[str, int] = {}
 
     def report(self, entry: str, target: int, number: int, now: float) -> int:
-        """Return the share that a report gives an entry: at most its target, and at least 1.
+        """Return the share to report to an entry: its target, limited to what is not reserved.
+
+        It is at least 1, since 0 means that the share is not known.
 
         Parameters
         ----------
@@ -64,7 +66,7 @@
         return share
 
     def record_echo(self, entry: str, number: int) -> bool:
-        """Record the newest report that an entry has received; whether part of its share is free.
+        """Record the newest report that an entry received; whether its reserved share is smaller.
 
         Parameters
         ----------
@@ -85,7 +87,7 @@
                 self._keep(entry, recent)
 
     def _keep(self, entry: str, rows: list[_Row]) -> bool:
-        """Keep only some rows of an entry, and return whether part of its share is free."""
+        """Keep only these reports of an entry; return whether its reserved share became smaller."""
         if not rows:
             self.remove(entry)
             return True
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -14,7 +14,7 @@
 """How long a run waits for an earlier run of its task to end: one lease and one stop."""
 
 REPLACE_CHECK_INTERVAL_S = 0.01
-"""Interval of the checks for that; a stop takes up to 50 ms."""
+"""Interval between checks whether the earlier run has ended; a stop takes up to 50 ms."""
 
 MIN_START_LEASE_S = 0.2
 """Shortest lease with which a run is started: two polls, so that the lease can be renewed."""
--- a/src/gentianmux/leased/run_stopper.py
+++ b/src/gentianmux/leased/run_stopper.py
@@ -31,10 +31,19 @@
             logger.bind(task=key[0], run=key[1], reason=reason).info("run stopped")
 
     def stop_in_time(self, key: RunKey, reason: str, since: float) -> None:
-        """Stop a run that has to end although other runs go on.
+        """Stop a run, and make sure that it ends within one lease after ``since``.
 
-        Its task may be started elsewhere, so it must not outlive the lease that it had at
-        ``since``, monotonic time, also if its stop is never confirmed.
+        Its task may then be started elsewhere. Leases cover all runs of an endpoint, so none is
+        renewed beyond that time until the stop is confirmed.
+
+        Parameters
+        ----------
+        key : RunKey
+            The run.
+        reason : str
+            Logged reason.
+        since : float
+            Monotonic time from which its lease may not be renewed, in seconds.
         """
         self._ctx.table.limit_lease(key, since + self._ctx.lease_s)
         self.stop(key, RunOutcome.STOPPED, reason)
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -193,7 +193,7 @@
         return True
 
     def limit_lease(self, key: RunKey, until: float) -> None:
-        """Let the lease of a run end at ``until``, unless its stop is confirmed before."""
+        """Set the time by which a run's lease must have expired, unless its stop is confirmed."""
         run = self.runs.get(key)
         if run is not None:
             run.lease_limit = min(run.lease_limit, until)
--- a/src/gentianmux/leased/share_reports.py
+++ b/src/gentianmux/leased/share_reports.py
@@ -19,10 +19,11 @@
 
 
 class ShareReports:
-    """Shares of an agent's entries: their demand, their targets, and what was reported.
+    """Shares of an agent's capacity that its load reports give to entries.
 
-    Shares follow demand while fewer entries are connected than are known. Otherwise none is
-    reported, and entries count on even shares.
+    Shares follow demand only while the agent is connected to some of the known entries: demand may
+    then be uneven among its entries. When all entries are connected, reports say 0 and each entry
+    counts on an even share, which is still recorded so that a change of mode overcommits nothing.
 
     Parameters
     ----------
--- a/src/gentianmux/leased/speed.py
+++ b/src/gentianmux/leased/speed.py
@@ -1,4 +1,15 @@
-"""Learns the speed of endpoints from run times over estimates, compared within each queue."""
+"""Estimates the relative speed of endpoints from the run times of their runs.
+
+Terms:
+
+* level of a queue: run time over estimate, at an endpoint of mean speed;
+* expected run time: estimate times level;
+* factor of an endpoint: run time over expected run time, above 1 if it is slow;
+* speed class: logarithm of the factor relative to the mean of all endpoints, in steps; 0 is the
+  mean, a lower class is faster.
+
+Agents estimate the factor, entries estimate levels and compare the endpoints.
+"""
 
 from collections import deque
 from collections.abc import Iterator, Sequence
--- a/src/gentianmux/platform/callers.py
+++ b/src/gentianmux/platform/callers.py
@@ -138,9 +138,11 @@
     def _cancel(self, job_id: str) -> Response:
         """Cancel a job, also one that another entry runs or that arrives later."""
         pending = self._entry.canceller.cancel(job_id)
-        if pending.confirmed.wait(CANCEL_TIMEOUT_S):
-            return Response(200, {"state": "cancelled"})
-        self._entry.canceller.forget(pending)
+        try:
+            if pending.confirmed.wait(CANCEL_TIMEOUT_S):
+                return Response(200, {"state": "cancelled"})
+        finally:
+            self._entry.canceller.forget(pending)
         content = {"error": "too few agents have confirmed the cancel", "job": job_id}
         return Response(503, content, RETRY_AFTER_S)
 
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -172,6 +172,27 @@
     assert cancellations.holds("2", now=RETENTION_S)
 
 
+def test_job_that_was_not_cancelled_is_refused_and_not_reported_after_an_overflow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an overflow that spreads, as refused jobs are reported as cancelled."""
+    monkeypatch.setattr(module, "MAX_CANCELLED", 2)
+    world = ready_world(agents=1, entries=1)
+    agent = world.machines["w0"].agent
+    assert agent is not None
+    for number in range(3):
+        agent._ctx.cancel_broadcast.cancellations.add(f"{number:f>16}", world.time)
+    job = world.submit("e0", run_s=0.1, time_limit_s=1.0)
+    world.run(1.5)
+    assert world.starts == 0
+    assert outcome(job) is JobOutcome.NOT_RUN
+    entry = entry_of(world, "e0")
+    assert len(entry.canceller.broadcast.cancellations) == 0
+    for number in range(3):
+        entry.canceller.broadcast.cancellations.add(f"{number:e>16}", world.time)
+    assert outcome(world.submit("e0", run_s=0.1)) is JobOutcome.NOT_RUN
+
+
 def test_cancel_is_refused_while_it_could_not_be_remembered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
