Starts without an answer are stopped before leases are renewed after a silence

What callers would see: a task that runs twice at the same time.

Cause: once an endpoint had been silent for longer than every lease, its agent gave up all runs there. That is proof for runs that had begun. A start without an answer may still be carried out seconds later, and by then the endpoint answers again and polls renew its lease for newer runs: the start begins under that lease, beside the second run of its task.

Change: starts that no answer, poll or stop has settled are remembered when the leases have expired. When the endpoint answers again they are stopped first; until a poll sent after the confirmed stops has been answered, no lease is renewed and nothing new begins there. A later incarnation under the same id gets the stops anew; another endpoint rejects the starts by the id they are meant for.

Evidence: on the code before, a start carried out 1.3 to 2.5 s late at an endpoint silent for 1.0 or 1.2 s begins beside the second run of its task.

Why it works: a run that was stopped before its start arrives is rejected for good, and before the stop is confirmed there is no lease under which it could run.

An endpoint back after 1.2 s of silence accepts runs again within 0.1 s (test).

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -247,7 +247,7 @@
         if became_silent:
             self._ctx.reporter.schedule_report()
         if self._ctx.table.runs and self._ctx.clock.now() > self._ctx.driver.lease_end():
-            self._ctx.handle_finished(self._ctx.table.mark_all_lost())
+            self._ctx.handle_finished(self._ctx.table.expire_all())
         self._ctx.tracker.detach_if_departed()
 
     # Runs
--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -73,6 +73,12 @@
         """Whether the endpoint has confirmed that it runs, and no stop was requested."""
         return self.phase is Phase.RUNNING
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether its start got no answer, and neither a poll nor a stop has settled it since."""
+        is_settled = self.confirmed or self.listed or self.stopped_at is not None
+        return self.start_sent and not is_settled
+
 
 class FinishedRun(NamedTuple):
     """A run that has ended, and its outcome."""
@@ -85,7 +91,7 @@
     """Runs of one endpoint, updated with its replies; it does no I/O.
 
     Resources are released only on proof that a run is gone: it is listed as ended, its start was
-    refused, or its stop was confirmed and a later poll no longer lists it.
+    refused, its stop was confirmed and a later poll no longer lists it, or every lease has expired.
 
     Examples
     --------
@@ -104,6 +110,7 @@
         self.unknown_runs: set[RunKey] = set()
         self.is_polled = False
         self._leases_ended = False
+        self._late_starts: dict[RunKey, float] = {}
         self._stop_sent_at: dict[RunKey, float] = {}
 
     def reset(self, capacity: Resources) -> None:
@@ -114,13 +121,16 @@
         self.unknown_runs = set()
         self.is_polled = False
         self._leases_ended = False
+        self._late_starts.clear()
 
     def begin_incarnation(self) -> list[FinishedRun]:
         """Start over with a later incarnation, and return the runs lost with the earlier one.
 
         A run that no poll has listed may have reached either incarnation. It keeps its resources
-        until polls of the later one decide, and is never reported as not run.
+        until polls of the later one decide, and is never reported as not run. Starts that may
+        still be carried out have to be stopped at the later one too.
         """
+        self._late_starts = dict.fromkeys(self._late_starts, inf)
         finished = self._mark_lost([run.key for run in self.runs.values() if run.listed])
         for run in self.runs.values():
             run.carried_over = True
@@ -135,8 +145,8 @@
 
     @property
     def is_reconciled(self) -> bool:
-        """Whether the endpoint was polled and has no runs that an earlier agent started."""
-        return self.is_polled and not self.unknown_runs
+        """Whether the endpoint was polled and neither has nor may begin runs that are not known."""
+        return self.is_polled and not self.unknown_runs and not self._late_starts
 
     def begin(self, key: RunKey, entry: str, need: Resources, estimate_ms: int, now: float) -> bool:
         """Allocate resources for a run about to be started; false if they are not free."""
@@ -219,6 +229,8 @@
         run = self.runs.get(key)
         if run is not None and run.stopped_at is None:
             run.stopped_at = now
+        if key in self._late_starts:
+            self._late_starts[key] = min(now, self._late_starts[key])
 
     def due_stops(self, now: float) -> list[RunKey]:
         """Runs, unknown ones included, for which a stop or a retry of it is due."""
@@ -227,7 +239,8 @@
             for run in self.runs.values()
             if run.phase is Phase.STOPPING and run.stopped_at is None
         }
-        to_stop = own | self.unknown_runs
+        late = {key for key, stopped_at in self._late_starts.items() if stopped_at == inf}
+        to_stop = own | late | self.unknown_runs
         if not to_stop:
             self._stop_sent_at.clear()
             return []
@@ -246,6 +259,9 @@
         finished = list(self._apply_ended(reply))
         active = {(row.task, row.run): row.percent for row in reply.active}
         self.unknown_runs = {key for key in active if key not in self.runs}
+        self._late_starts = {
+            key: at for key, at in self._late_starts.items() if at >= reply.asked_at
+        }
         for run in list(self.runs.values()):
             if run.key in active:
                 self._mark_active(run, active[run.key], now)
@@ -292,8 +308,18 @@
             if done is not None:
                 yield done
 
+    def expire_all(self) -> list[FinishedRun]:
+        """End every run as lost, since every lease has expired.
+
+        A start without an answer may still be carried out. It is stopped once the endpoint answers
+        again; until then no lease is renewed under which it could run.
+        """
+        late = (run.key for run in self.runs.values() if run.may_start_late)
+        self._late_starts.update(dict.fromkeys(late, inf))
+        return self.mark_all_lost()
+
     def mark_all_lost(self) -> list[FinishedRun]:
-        """End every run as lost: the endpoint is gone, or every lease has expired."""
+        """End every run as lost, since the endpoint is gone."""
         return self._mark_lost(list(self.runs))
 
     def _mark_lost(self, keys: list[RunKey]) -> list[FinishedRun]:
