A late message of an earlier agent process ends no runs of the later one

What callers would see: a task that runs twice at the same time.

Cause: an entry that hears from an accepting agent gives up the runs of all other processes of that instance, as the agent has stopped them. It did not check that these are earlier. The kernel sends what a killed process had written, again and again on a lossy link; a connection that the process opened shortly before may complete after its successor has connected. The message of the dead process then ended the runs of the living one, and their tasks were started elsewhere.

Change: only processes that started before the one that reports are given up, by the start time in their names.

--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -11,6 +11,25 @@
     return process.rpartition(".")[0]
 
 
+def is_earlier_process(process: str, other: str) -> bool:
+    """Whether a process ran on the same instance before another one, by the starts in their names.
+
+    Examples
+    --------
+    >>> is_earlier_process("w1.1700000000000", "w1.1700000000900")
+    True
+    >>> is_earlier_process("w1.1700000000900", "w1.1700000000000")
+    False
+    """
+    return instance_of(process) == instance_of(other) and _started_at(process) < _started_at(other)
+
+
+def _started_at(process: str) -> int:
+    """Start of a process in Unix milliseconds; 0 for a name without one."""
+    start = process.rpartition(".")[2]
+    return int(start) if start.isdecimal() else 0
+
+
 class StepSpec(NamedTuple):
     """A step of a job: a number of tasks with the same requirements.
 
--- a/src/gentianmux/leased/run_completions.py
+++ b/src/gentianmux/leased/run_completions.py
@@ -6,7 +6,7 @@
 from .entry_context import EntryContext
 from .job_handle import JobResult
 from .job_state import JobOutcome
-from .model import RunOutcome, instance_of
+from .model import RunOutcome, is_earlier_process
 
 REFUSAL_BACKOFF_S = 0.05
 """Seconds without new runs for an agent that refused one for another reason than resources."""
@@ -78,9 +78,12 @@
             self._ctx.backlog.put(job)
 
     def lose_earlier_processes(self, agent: str) -> None:
-        """End the runs of earlier processes of an agent's instance, which the agent has stopped."""
+        """End the runs of earlier processes of an agent's instance, which the agent has stopped.
+
+        Messages of an earlier process may arrive after those of a later one, which is still alive.
+        """
         for process in list(self._ctx.view.agents):
-            if process != agent and instance_of(process) == instance_of(agent):
+            if is_earlier_process(process, agent):
                 self.lose_process(process, "a later process of the agent is at work")
 
     def lose_process(self, process: str, reason: str) -> None:
--- a/tests/test_run_end_proofs.py
+++ b/tests/test_run_end_proofs.py
@@ -116,6 +116,42 @@
     assert table.due_stops(now=1.0) == []
 
 
+def test_late_message_of_earlier_agent_process_ends_no_run_of_later_one() -> None:
+    """Guards against runs of a live agent given up for a message that its predecessor sent."""
+    world = ready_world(agents=2)
+    world.kill(world.process_of("w0"))
+    world.run(0.4)
+    world.start_agent("w0")
+    world.run(1.0)
+    job = world.submit("e0", tasks=12, run_s=1.5)
+    world.run(0.3)
+    agent = agent_of(world)
+    assert agent.table.runs
+    entry = world.entries["e0"].entry
+    assert entry is not None
+    entry.on_message(agent._endpoint_state(), "w0.1")
+    world.run(5.0)
+    assert outcome(job) is JobOutcome.COMPLETED
+    assert_invariants_hold(world)
+
+
+def test_runs_of_earlier_agent_process_are_lost_once_later_one_accepts_runs() -> None:
+    """Guards against tasks that wait for leases to expire although their agent has restarted."""
+    world = ready_world(agents=2)
+    job = world.submit("e0", tasks=12, run_s=1.5)
+    world.run(0.3)
+    entry = world.entries["e0"].entry
+    assert entry is not None
+    assert entry._ctx.assigned_runs["w0.1"]
+    world.kill("w0.1")
+    world.start_agent("w0")
+    world.run(0.7)
+    assert not entry._ctx.assigned_runs["w0.1"]
+    world.run(5.0)
+    assert outcome(job) is JobOutcome.COMPLETED
+    assert_invariants_hold(world)
+
+
 @pytest.mark.parametrize("seed", range(16))
 def test_random_walks_with_long_silences_and_late_starts(seed: int) -> None:
     """Guards against runs given up without proof at endpoints that fall silent and come back."""
