A start does not renew the runs of an entry whose lease has expired

What callers would see: a job handed in again 1.3 s after its entry was killed, while runs of the first submission are still active. Found by reading; no caller has reported it.

Cause: a start renews the lease of every run at its endpoint. It keeps to the limit of runs that have to end, but only polls and the periodic check mark such runs. An agent that was paused and goes on with a start had not marked the runs of an entry whose lease expired meanwhile, and asked for a whole lease. While their stops stay unanswered, those runs outlive the bound on which resubmission relies.

Change: a start checks the leases of entries first, as polls do.

Evidence: `test_start_after_pause_does_not_renew_runs_of_entry_whose_lease_has_expired` fails on the code before: 0.23 s past the limit. The pause is bounded by the lease of the starting run's own entry, so the excess is below 0.4 s.

--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -137,6 +137,8 @@
         if self._ctx.is_evacuated:
             self._end_refused(key, RunOutcome.DRAINING)
             return
+        # This process may have been paused since it last checked the leases of entries.
+        self._stopper.stop_expired()
         lease_s = min(self._ctx.lease_s, self._ctx.table.lease_limit - now)
         if lease_s < MIN_START_LEASE_S:
             # A start renews the lease of every run at the endpoint, and one of them has to end.
--- a/tests/test_run_end_proofs.py
+++ b/tests/test_run_end_proofs.py
@@ -9,6 +9,7 @@
 import pytest
 from test_leased_world import _inject_fault, assert_invariants_hold, outcome, ready_world
 
+from bench.leased_endpoint import SLOW_CLOCK
 from bench.leased_world import World
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.job_state import JobOutcome
@@ -177,3 +178,23 @@
     silent_s = rng.uniform(0.3, 1.5)
     world.at(rng.uniform(0.0, 0.1), "", setattr, endpoint, "silent", True)
     world.at(silent_s, "", setattr, endpoint, "silent", False)
+
+
+def test_start_after_pause_does_not_renew_runs_of_entry_whose_lease_has_expired() -> None:
+    """Guards against a lease of runs that must end, renewed by the start of another one."""
+    world = ready_world(agents=1, entries=2)
+    agent, endpoint = agent_of(world), world.machines["w0"].endpoint
+    world.submit("e1", tasks=2, run_s=3.0)
+    world.run(0.3)
+    endpoint.ignored_stops = 100
+    world.kill("e1.1")
+    expires_at = agent._leases.expires_at("e1.1")
+    world.run(expires_at - 0.02 - world.time)
+    world.submit("e0", tasks=1, run_s=3.0)
+    while not agent.table.of_entry("e0.1"):
+        world.run(0.0002)
+    # The start of the accepted run is the first thing that the agent does when it goes on.
+    world.freeze("w0.1", 0.25)
+    world.run(0.3)
+    assert len(agent.table.runs) == 3
+    assert endpoint.lease_until <= expires_at + agent._ctx.lease_s / SLOW_CLOCK
