--- a/src/gentianmux/leased/connectors.py
+++ b/src/gentianmux/leased/connectors.py
@@ -110,9 +110,8 @@
 
     Examples
     --------
-    >>> connector = AgentConnector("e1", links)
-    >>> connector.update(Announcement("w1", "agent", "10.0.0.1:7720"))
-    True
+    ``AgentConnector("e1", links).update(Announcement("w1", "agent", "10.0.0.1:7720"))`` dials the
+    agent if it prefers ``e1`` among the known entries.
     """
 
     def __init__(self, me: str, links: Links) -> None:
--- a/src/gentianmux/leased/evacuations.py
+++ b/src/gentianmux/leased/evacuations.py
@@ -47,7 +47,8 @@
 
     Examples
     --------
-    >>> feed = EvacuationFeed(metrics)
+    >>> from gentianmux.settings import Settings
+    >>> feed = EvacuationFeed(Metrics(Settings()))
     >>> feed.apply_snapshot(["fd1"], 5)
     >>> feed.apply_changes([("fd1", False), ("fd2", True)], 7)
     >>> feed.current
--- a/src/gentianmux/leased/speed.py
+++ b/src/gentianmux/leased/speed.py
@@ -86,7 +86,7 @@
     Examples
     --------
     >>> speed = SpeedEstimate()
-    >>> for _ in range(8):
+    >>> for _ in range(MIN_RUNS):
     ...     speed.ended(1.6, now=1.0)
     >>> speed.percent(now=1.0)
     160
--- a/src/gentianmux/platform/http_client.py
+++ b/src/gentianmux/platform/http_client.py
@@ -56,9 +56,7 @@
 
     Examples
     --------
-    >>> client = HttpClient("127.0.0.1:80", connections=2)
-    >>> client.call("GET", "/healthz", b"", timeout_s=1.0).status
-    200
+    ``HttpClient("127.0.0.1:80", connections=2).call("GET", "/healthz", b"", timeout_s=1.0).status``
     """
 
     def __init__(self, address: str, connections: int) -> None:
--- a/src/gentianmux/settings.py
+++ b/src/gentianmux/settings.py
@@ -22,7 +22,7 @@
 
     Examples
     --------
-    >>> read_settings({"role": "agent", "slots": "16"}).unwrap().slots
+    >>> read_settings({"role": "agent", "services": "intake", "slots": "16"}).unwrap().slots
     16
     """
 
