Log lines of a slow reader stay bounded and counted

What operators would see: a process whose memory grows while its log is read slowly, and a count of dropped lines that is too low. Found by reading.

Cause: after a partial write all that was left counted as one line, so the bound on pending lines never applied to a reader that keeps reading a little.

Change: lines keep being counted one by one; only the rest of the line that was cut stands apart.

--- a/src/gentianmux/events.py
+++ b/src/gentianmux/events.py
@@ -76,6 +76,7 @@
         self._fd = fd
         self._on_dropped = on_dropped
         self._pending: deque[bytes] = deque()
+        self._unwritten = b""
         self._wake = Event()
         self._current_second = 0
         self._lines_this_second = 0
@@ -107,28 +108,37 @@
         while True:
             self._wake.wait()
             self._wake.clear()
-            while self._pending:
+            while self._pending or self._unwritten:
                 if not self.write_some():
                     gevent.sleep(0.05)
             gevent.sleep(0)
 
     def write_some(self) -> bool:
         """Write as much as the descriptor accepts; return False if it accepts nothing."""
-        data = b"".join(self._pending)
+        data = b"".join((self._unwritten, *self._pending))
         try:
             written = os.write(self._fd, data)
         except BlockingIOError:
             return False
         except OSError:
             # The reading end is closed for good, so retrying cannot succeed.
-            self._on_dropped(len(self._pending))
+            self._on_dropped(len(self._pending) + bool(self._unwritten))
             self._pending.clear()
+            self._unwritten = b""
             return True
-        self._pending.clear()
-        if written < len(data):
-            self._pending.append(data[written:])
+        self._remove_written(written)
         return written > 0
 
+    def _remove_written(self, count: int) -> None:
+        """Remove bytes that were written; the rest of a line that they end in stays apart.
+
+        Lines keep being counted one by one, however few of them a slow reader takes at a time.
+        """
+        while count > len(self._unwritten):
+            count -= len(self._unwritten)
+            self._unwritten = self._pending.popleft()
+        self._unwritten = self._unwritten[count:]
+
 
 class _JsonSink:
     def __init__(self, process: str, put: Callable[[str, bool, int], None] | None = None) -> None:
