A malformed section of rules is a fault, and removes nothing

What operators would see: an import of rules with `"members": []` accepted, and every member, team or service that the file does not list removed. Found by reading.

Cause: a section that is no object was dropped without a fault; the import then took it for empty.

Change: each section has to be an object of named items; the fault names the section.

Measured: `test_rules_section_that_is_no_object_is_a_fault` fails in all twelve cases on the code before, and passes now with the other tests of the configuration.

--- a/src/gentianmux/inventory.py
+++ b/src/gentianmux/inventory.py
@@ -119,6 +119,12 @@
     faults = [
         LineFault(0, f"{name} is not one of {', '.join(KIND_BY_SECTION)}") for name in unknown
     ]
+    # Taken for an empty section, it would remove every item of its kind.
+    faults += [
+        LineFault(0, f"{section} must be an object of named items")
+        for section in KIND_BY_SECTION
+        if not isinstance(content.get(section, {}), dict)
+    ]
     items = {
         f"{KIND_BY_SECTION[section]}/{name}": value
         for section, entries in content.items()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,6 +1,9 @@
 """Guards against divergent configuration after concurrent, repeated or invalid changes, and
 against bad imports, lost replies of the log and settings that are not validated."""
 
+import json
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -78,6 +81,16 @@
     assert list(found.items) == ["worker/w1"]
 
 
+@pytest.mark.parametrize("section", ["members", "teams", "services"])
+@pytest.mark.parametrize("entries", [[], None, "x", 0])
+def test_rules_section_that_is_no_object_is_a_fault(section: str, entries: object) -> None:
+    """Guards against an import that removes every item of a malformed section."""
+    found = read_rules(json.dumps({section: entries}))
+    assert [fault.problem for fault in found.faults] == [
+        f"{section} must be an object of named items"
+    ]
+
+
 def test_csv_and_json_inventories_agree() -> None:
     csv_text = "name,rack,failure_domain,cores\nw1,r1,fd1,16\n"
     json_text = '[{"name":"w1","rack":"r1","failure_domain":"fd1","cores":16}]'
