A malformed member of a service is one fault of a change, not the end of its check

What operators would see: a change that removes a member and holds a service whose `member` is a list ends with a TypeError in place of its faults.

Cause: the check for removed members looked up whatever stood in the field.

Change: only a text names a member; the other check reports the field, as before.

Measured: `test_service_of_malformed_member_is_a_fault_while_a_member_is_removed` fails for a list and an object on the code before (a number passed there too); all three pass now.

--- a/src/gentianmux/rules.py
+++ b/src/gentianmux/rules.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any, NamedTuple, TypedDict, cast
+from typing import Any, NamedTuple, TypedDict
 
 MAX_NAME_LENGTH = 64
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}\Z")
@@ -171,5 +171,6 @@
 
 def _member_of(key: str, value: Any) -> str | None:
     if key.startswith("service/") and isinstance(value, dict):
-        return cast(str | None, value.get("member"))
+        member = value.get("member")
+        return member if isinstance(member, str) else None
     return key.split("/")[1] if key.startswith("team/") else None
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -57,6 +57,15 @@
     assert "member/x" in state.items
 
 
+@pytest.mark.parametrize("member", [["x"], {"x": 1}, 4])
+def test_service_of_malformed_member_is_a_fault_while_a_member_is_removed(member: object) -> None:
+    """Guards against a fault of one item that ends the check of a whole change."""
+    change = Change("b", 0, {"service/s": {"member": member}}, ["member/x"])
+    state = replay(Change("a", -1, {"member/x": {}}, []), change)
+    assert state.outcomes["b"].code is ResultCode.CHANGE_INVALID
+    assert "member/x" in state.items
+
+
 @given(st.permutations(range(6)), st.lists(st.integers(0, 5), max_size=6))
 def test_replicas_converge_and_versions_never_decrease(
     order: list[int], repeats: list[int]
