A digit that is no decimal number is a fault of its field

What callers and operators would see: a superscript two as a worker's cores ends an import with a ValueError in place of a fault of its line; in `Prefer: wait=` it is answered 500 in place of 400.

Cause: `isdigit` holds for characters that `int` refuses.

Change: `isdecimal` in both places.

Measured: `test_digit_that_is_no_decimal_is_a_fault_of_its_line` fails on the code before and passes now.

--- a/src/gentianmux/caller_api.py
+++ b/src/gentianmux/caller_api.py
@@ -219,7 +219,7 @@
     for part in environ.get("HTTP_PREFER", "").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "wait":
-            if not value.isdigit() or int(value) > MAX_WAIT_S:
+            if not value.isdecimal() or int(value) > MAX_WAIT_S:
                 raise GentianmuxError(ResultCode.BAD_HEADER, "Prefer: wait= takes 0 to 300")
             return float(value)
     return default
--- a/src/gentianmux/inventory.py
+++ b/src/gentianmux/inventory.py
@@ -96,7 +96,7 @@
 def _is_count(value: Any) -> bool:
     if isinstance(value, int):
         return not isinstance(value, bool) and value >= 0
-    return value in (None, "") or (isinstance(value, str) and value.strip().isdigit())
+    return value in (None, "") or (isinstance(value, str) and value.strip().isdecimal())
 
 
 def _worker(fields: dict[str, Any]) -> dict[str, Any]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -90,6 +90,12 @@
     assert list(found.items) == ["worker/w1"]
 
 
+def test_digit_that_is_no_decimal_is_a_fault_of_its_line() -> None:
+    """Guards against characters such as a superscript two, which count as digits."""
+    found = read_inventory("name,failure_domain,cores\nw1,fd1,\u00b2\n", False)
+    assert [fault.line for fault in found.faults] == [2]
+
+
 @pytest.mark.parametrize("section", ["members", "teams", "services"])
 @pytest.mark.parametrize("entries", [[], None, "x", 0])
 def test_rules_section_that_is_no_object_is_a_fault(section: str, entries: object) -> None:
