Settings of wrong types are reported, and do not end the loop that reloads them

What operators would see: `bounds = 1`, `seeds = [1]` or a number beyond any float in the settings file ends the start with a traceback, and a running process reloads no settings any more.

Cause: AttributeError and OverflowError were not among the errors that become `BAD_SETTING`.

Change: they are.

Measured: `test_settings_of_wrong_types_raise_bad_setting` fails in its three cases on the code before and passes now.

--- a/src/gentianmux/platform/settings.py
+++ b/src/gentianmux/platform/settings.py
@@ -32,7 +32,7 @@
         return decode_settings(role, tomllib.loads(Path(path).read_text()))
     except (OSError, ValueError) as exc:
         raise GentianmuxError(ResultCode.BAD_SETTING, f"{path or PATH_VARIABLE}: {exc}") from exc
-    except (KeyError, TypeError, IndexError) as exc:
+    except (KeyError, TypeError, IndexError, AttributeError, OverflowError) as exc:
         raise GentianmuxError(ResultCode.BAD_SETTING, f"{path}: {exc!r}") from exc
 
 
@@ -41,7 +41,7 @@
 
     Raises
     ------
-    ValueError, KeyError, TypeError, IndexError
+    ValueError, KeyError, TypeError, IndexError, AttributeError, OverflowError
         When a value is missing or invalid.
     """
     ip = str(file["ip"])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -86,6 +86,25 @@
     assert caught.value.code is ResultCode.BAD_SETTING
 
 
+@pytest.mark.parametrize(
+    "line", ["bounds = 1", "seeds = [1]", f"limits = {{ link_mbps = {10**400} }}"]
+)
+def test_settings_of_wrong_types_raise_bad_setting(
+    line: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a traceback at the start, and a reload loop that ends for good."""
+    path = tmp_path / "boot.toml"
+    valid = 'node = "n"\nzone = "z"\nip = "10.1.0.1"\nport_range = [7720]\n'
+    tables = '[listen]\ncontrol = "10.1.0.1:1"\n[platform]\naddress = "10.2.0.1:1"\n'
+    path.write_text(valid + tables)
+    monkeypatch.setenv("GENTIANMUX_CONFIG", str(path))
+    assert read_settings_file("agent").name == "n"
+    path.write_text(f"{valid}{line}\n{tables}")
+    with pytest.raises(GentianmuxError) as caught:
+        read_settings_file("agent")
+    assert caught.value.code is ResultCode.BAD_SETTING
+
+
 def test_configuration_is_decoded() -> None:
     config = decode_config((CONFIG % 7).encode())
     (queue,) = config.queues
