Calls to a restarted endpoint use no connection of its earlier incarnation

What callers would see: the first jobs after a restart of an endpoint whose connections ended unnoticed take 0.16 s longer; beside heavy load, where their objectives are short, they are given up.

Cause: after a restart an agent kept its idle connections to the endpoint. If the end of the earlier incarnation was not noticed on them (its machine lost power), each start waited 80 ms for an answer, was stopped, and began again. Polls after the switch waited as long.

Change: an agent that switches to another incarnation opens new connections. A heartbeat that only adds the start to an announcement changes none.

Measured: `test_first_calls_of_later_incarnation_use_no_earlier_connection` fails on the code before.

--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -144,6 +144,10 @@
         higher, and the end of the requested leases is kept.
         """
         is_same_id = report.endpoint == self._endpoint
+        if self._endpoint and not self._may_be_same(report):
+            # They ended with the previous incarnation, which may not have closed them.
+            self._poll_client.renew_connections()
+            self._command_client.renew_connections()
         self._lowest_fence = self._fence + 1 if is_same_id else 0
         self._lease_end = self._lease_end if is_same_id else 0.0
         self._endpoint = report.endpoint
@@ -153,6 +157,13 @@
         self._fence = 0
         self._clock_ms = 0.0
 
+    def _may_be_same(self, report: EndpointReport) -> bool:
+        """Whether a report may be of the attached incarnation, by its id and what starts tell."""
+        starts = {self._born, report.born}
+        return report.endpoint == self._endpoint and (
+            len(starts) == 1 or UNKNOWN_START_MS in starts
+        )
+
     def is_present(self, report: EndpointReport) -> bool | None:
         """Whether the incarnation that sent a heartbeat is the one responding; None if unknown."""
         headers = {EXPECT_INSTANCE: report.endpoint}
--- a/src/gentianmux/platform/http_client.py
+++ b/src/gentianmux/platform/http_client.py
@@ -102,6 +102,11 @@
             self._pool.stale_before = min(self._failed_call_starts)
             self._failed_call_starts.clear()
 
+    def renew_connections(self) -> None:
+        """Use no connection that was opened so far, but for calls that are in progress on it."""
+        self._pool.stale_before = monotonic()
+        self._failed_call_starts.clear()
+
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -141,6 +141,16 @@
             gevent.sleep(0.05)
         raise AssertionError((self.folder / f"{entry}.log").read_text()[-2000:])
 
+    def wait_logged(self, name: str, *words: str, after: int) -> None:
+        """Wait until a line of an instance's log, past an offset, holds all of some words."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            lines = self.log_of(name)[after:].splitlines()
+            if any(all(word in line for word in words) for line in lines):
+                return
+            gevent.sleep(0.05)
+        raise AssertionError(self.log_of(name)[after:][-2000:])
+
     def _send_heartbeats(self) -> None:
         while True:
             for name, endpoint in self.endpoints.items():
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -114,8 +114,9 @@
     assert endpoint.fence > endpoint.clock_ms()
     deployment.processes["side-0"].kill()
     deployment.processes["side-0"].wait()
+    known = len(deployment.log_of("front-0"))
     deployment.start("side-0", "agent")
-    gevent.sleep(1.5)
+    deployment.wait_logged("front-0", "endpoint state", '"accepting": true', after=known)
     before = len(endpoint.starts)
     assert deployment.submit("00000000000000c3", job_body()) == (200, COMPLETED)
     assert len(endpoint.starts) == before + 4
@@ -539,6 +540,30 @@
         assert [run.task for run in driver.hold(0, 0.0, 0.5, 1.0).active] == ["t"]
 
 
+def test_first_calls_of_later_incarnation_use_no_earlier_connection() -> None:
+    """Guards against starts that wait for an answer on connections that ended unnoticed."""
+    with attached() as (app, driver):
+        assert driver.stop("t", 1)
+        gevent.sleep(0.01)
+        app.restart()
+        driver.attach(report_of(app))
+        assert driver.hold(0, 0.0, 0.5, 1.0).active == ()
+        assert driver.start("t", 2, SPEC, 0.5, boot_time()) is StartResult.STARTED
+
+
+def test_connections_are_kept_when_a_heartbeat_adds_the_start_to_an_announcement() -> None:
+    """Guards against needless new connections to an endpoint that has not restarted."""
+    app = PlatformEndpointApp("i-1")
+    with served(app) as address:
+        driver = PlatformEndpoint(address, 0.05)
+        driver.attach(report_of(app)._replace(born=0))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        connections = len(app._incarnation_of)
+        driver.attach(report_of(app))
+        driver.hold(0, 0.0, 0.5, 1.0)
+        assert len(app._incarnation_of) == connections
+
+
 @pytest.mark.parametrize("offset_ms", [-9, 9])
 def test_incarnation_that_answers_poll_is_current_whatever_start_was_reported(
     offset_ms: int,
