Speeds of a fleet, levels of queues and the view of an agent have modules of their own

Change: speed.py keeps the estimate at an agent; queue_levels.py and fleet_speeds.py hold what entries learn and compare; agent_view.py what an entry knows of one agent. Nothing else is changed.

--- a/bench/leased_capacity.py
+++ b/bench/leased_capacity.py
@@ -8,9 +8,10 @@
 from time import process_time
 
 from bench.processes import ROOT
-from gentianmux.leased.fleet_view import FleetView, PlacementRequest
+from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.job_state import JobState
 from gentianmux.leased.model import JobSpec, QueueConfig, StepSpec
+from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
 from gentianmux.messages import AgentLoad, EndpointState
 
--- a/src/gentianmux/leased/candidates.py
+++ b/src/gentianmux/leased/candidates.py
@@ -4,11 +4,13 @@
 from heapq import heapify, heappop, heappush
 from typing import TYPE_CHECKING
 
+from .fleet_speeds import preference
 from .resources import Resources
-from .speed import preference
 
 if TYPE_CHECKING:
-    from .fleet_view import AgentView, FleetView, PlacementRequest
+    from .agent_view import AgentView
+    from .fleet_view import FleetView
+    from .placement_request import PlacementRequest
 
 _HeapItem = tuple[int, float, float, int]
 
--- a/src/gentianmux/leased/entry_context.py
+++ b/src/gentianmux/leased/entry_context.py
@@ -7,10 +7,11 @@
 from ..clock import Clock
 from ..messages import Claim, LoadEcho, RunRef, Withdraw
 from ..metrics import Metrics
+from .agent_view import AgentView
 from .backlog import Backlog
 from .claims import claims_of, signature
 from .config_feed import ConfigFeed
-from .fleet_view import AgentView, FleetView
+from .fleet_view import FleetView
 from .job_handle import JobHandle, JobResult
 from .job_state import JobOutcome, JobState
 from .links import Links
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -6,15 +6,16 @@
 
 from ..messages import Assign, LeasedTask
 from .admission_policy import AdmissionPolicy
+from .agent_view import AgentView
 from .candidates import Candidates
 from .claims import signature
 from .entry_context import EntryContext
-from .fleet_view import AgentView, PlacementRequest
+from .fleet_speeds import speed_limit
 from .job_state import TASK_OVERHEAD_BYTES, JobState, TaskState
 from .model import RunOutcome
+from .placement_request import PlacementRequest
 from .resources import NO_RESOURCES, Resources
 from .run_completions import RunCompletions
-from .speed import speed_limit
 
 CLAIM_INTERVAL_S = 0.02
 """Least seconds between two rounds of sending changed claims to all agents."""
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -9,11 +9,13 @@
 
 from bench.leased_speed import cost_of_a_job
 from gentianmux.leased.admission_policy import urgency
+from gentianmux.leased.agent_view import AgentView
 from gentianmux.leased.backlog import Backlog
 from gentianmux.leased.candidates import Candidates
-from gentianmux.leased.fleet_view import AgentView, FleetView, PlacementRequest
+from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.job_state import JobState, Timeliness
 from gentianmux.leased.model import JobSpec, QueueConfig, RunOutcome, StepSpec
+from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
 from gentianmux.messages import AgentLoad, EndpointState
 
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -21,7 +21,6 @@
 from gentianmux.clock import boot_time
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.directory import Announcement, decode_announcement
-from gentianmux.leased.fleet_view import PlacementRequest
 from gentianmux.leased.heartbeat_kind import HeartbeatKind, classify_heartbeat
 from gentianmux.leased.job_state import JobOutcome
 from gentianmux.leased.model import (
@@ -36,6 +35,7 @@
     StepSpec,
 )
 from gentianmux.leased.payloads import encode_payload
+from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
 from gentianmux.leased.run_table import RunTable
 from gentianmux.messages import Assign, LeasedTask
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -12,19 +12,16 @@
 from bench.leased_world import QUEUE
 from bench.scenario import read_experiment
 from gentianmux.leased import fleet_view
+from gentianmux.leased.agent_view import AgentView
 from gentianmux.leased.candidates import Candidates
-from gentianmux.leased.fleet_view import SLOWNESS_STEP, AgentView, FleetView, PlacementRequest
+from gentianmux.leased.fleet_speeds import NO_CLASS, speed_limit
+from gentianmux.leased.fleet_view import SLOWNESS_STEP, FleetView
 from gentianmux.leased.job_state import JobOutcome, estimate_remaining_s
 from gentianmux.leased.model import JobSpec, StepSpec
+from gentianmux.leased.placement_request import PlacementRequest
+from gentianmux.leased.queue_levels import QueueLevels
 from gentianmux.leased.resources import Resources
-from gentianmux.leased.speed import (
-    FORGET_S,
-    MIN_RUNS,
-    NO_CLASS,
-    QueueLevels,
-    SpeedEstimate,
-    speed_limit,
-)
+from gentianmux.leased.speed import FORGET_S, MIN_RUNS, SpeedEstimate
 
 SCENARIOS = Path(__file__).parents[1] / "bench" / "scenarios"
 TASK = Resources(1600, 64)
