Shutdown of an entry has a module of its own, like that of an agent

Change: leased/entry_shutdown.py with the names of leased/agent_shutdown.py: begin, is_drained, run. Tests call them by these names and assert what they did.

--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -25,18 +25,18 @@
 from .config_transfer import ConfigTransfer
 from .entry_context import EntryContext
 from .entry_leases import MIN_ECHO_INTERVAL_S
+from .entry_shutdown import EntryShutdown
 from .evacuation_broadcast import EvacuationBroadcast
 from .evacuations import Evacuations
 from .fleet_view import FleetView
 from .job_canceller import JobCanceller
 from .job_handle import JobHandle, JobResult
-from .job_state import JobOutcome, JobState, estimate_critical_path_s
+from .job_state import JobOutcome, JobState
 from .links import Links
 from .model import JobSpec, QueueConfig, RunOutcome
 from .placer import Placer
 from .resources import NO_RESOURCES
 from .run_completions import RunCompletions
-from .shutdown import finishes_before_shutdown
 
 TICK_S = 0.01
 """Seconds between checks of deadlines and decisions; short jobs are decided within a few of
@@ -49,14 +49,6 @@
 LOSS_CHECK_INTERVAL_S = 0.05
 """Seconds between checks for lost agents, which are given up 1.1 s after their last report."""
 
-LAST_REQUESTS_TIMEOUT_S = 0.1
-"""Seconds without a job before an entry that shuts down accepts none any more: requests on open
-connections still arrive after the balancer was notified."""
-
-DRAIN_CHECK_INTERVAL_S = 0.02
-"""Seconds between checks whether an entry that shuts down has no jobs left, a fifth of
-``LAST_REQUESTS_TIMEOUT_S``."""
-
 
 class Entry:
     """Admits jobs, assigns their tasks to agents, and gives each caller the complete answer.
@@ -76,6 +68,11 @@
     link_bytes_s : float
         Configured bandwidth of the instance's link in bytes per second; 0 when not configured.
 
+    Attributes
+    ----------
+    shutdown : EntryShutdown
+        Drains the entry when its process has to stop.
+
     Examples
     --------
     ``handle = entry.submit(spec, queue, time_limit_s=5.0)``, then ``handle.done.wait()``.
@@ -99,9 +96,7 @@
         self.canceller = JobCanceller(self._ctx)
         self._admission_controller = AdmissionController(self._ctx)
         self._placer = Placer(self._ctx, self._completions, self._admission_controller.policies)
-        self.shutting_down = False
-        self._shutdown_at = float("inf")
-        self._idle_since: float | None = None
+        self.shutdown = EntryShutdown(self._ctx)
         self._suspensions = clock.suspensions()
         links.on_open = self._on_open
         links.on_close = self._on_close
@@ -116,7 +111,7 @@
     def is_ready(self) -> bool:
         """Whether callers should be routed here."""
         reachable = self._ctx.view.is_reachable(self._ctx.clock.now())
-        return not self.shutting_down and self._ctx.feed.current is not None and reachable
+        return not self.shutdown.has_begun and self._ctx.feed.current is not None and reachable
 
     # Jobs
 
@@ -309,50 +304,3 @@
                 limit_bytes=window.limit, before=before, on_way_bytes=window.in_flight_bytes
             ).info("link is full")
         self._ctx.metrics.gauge("link_window_bytes", window.limit)
-
-    def accepts(self, spec: JobSpec) -> bool:
-        """Whether a job is expected to end before this process does."""
-        return finishes_before_shutdown(
-            estimate_critical_path_s(spec), self._shutdown_at - self._ctx.clock.now()
-        )
-
-    def shut_down(self, linger_s: float, until: float) -> None:
-        """Accept jobs that can end before ``until`` for at least ``linger_s``, and answer all.
-
-        Callers keep their connections for some time after the balancer was notified.
-
-        Parameters
-        ----------
-        linger_s : float
-            Least time in seconds.
-        until : float
-            Monotonic time at which unfinished jobs are given up.
-        """
-        self.begin_shutdown(until)
-        gevent.sleep(linger_s)
-        while not self.is_drained() and self._ctx.clock.now() < until:
-            gevent.sleep(DRAIN_CHECK_INTERVAL_S)
-        self._shutdown_at = self._ctx.clock.now()
-        for handle in list(self._ctx.jobs.values()):
-            self._ctx.give_up(handle.job, "the entry ends")
-
-    def begin_shutdown(self, until: float) -> None:
-        """Accept only jobs that are expected to end before ``until``."""
-        self.shutting_down = True
-        self._shutdown_at = until
-
-    def is_drained(self) -> bool:
-        """Whether no job has been here for a while; from then on none is accepted.
-
-        A job accepted between the last answer and the end of the process would be cut off.
-        """
-        now = self._ctx.clock.now()
-        if self._ctx.jobs:
-            self._idle_since = None
-            return False
-        if self._idle_since is None:
-            self._idle_since = now
-        if now - self._idle_since < LAST_REQUESTS_TIMEOUT_S:
-            return False
-        self._shutdown_at = now
-        return True
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -228,7 +228,7 @@
         gevent.spawn(loop)
     directory.announce(Announcement(cfg.name, cfg.role, cfg.peer_address))
     stopping.wait()
-    entry.shut_down(ACCEPT_AFTER_STOP_S, base.clock.now() + cfg.grace_s - GRACE_MARGIN_S)
+    entry.shutdown.run(ACCEPT_AFTER_STOP_S, base.clock.now() + cfg.grace_s - GRACE_MARGIN_S)
     gevent.sleep(FLUSH_DELAY_S)
     base.close()
 
--- a/src/gentianmux/platform/callers.py
+++ b/src/gentianmux/platform/callers.py
@@ -114,7 +114,7 @@
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         if response.retry_after_s:
             headers.append(("Retry-After", str(response.retry_after_s)))
-        if self._entry.shutting_down:
+        if self._entry.shutdown.has_begun:
             headers.append(("Connection", "close"))
         start_response(f"{response.status} {_REASONS[response.status]}", headers)
         return [body]
@@ -161,7 +161,7 @@
     def _submit(self, environ: dict[str, Any], queue: QueueConfig, job_id: str) -> Response:
         time_limit_s = _time_limit_s(environ, queue)
         spec = decode_job(job_id, read_body(environ, self._cfg))
-        if not self._entry.accepts(spec):
+        if not self._entry.shutdown.accepts(spec):
             raise GentianmuxError(ResultCode.DRAINING, retry_after_ms=RETRY_AFTER_S * 1000)
         handle = self._entry.submit(spec, queue, time_limit_s)
         result = wait_for_result(self._entry, handle, environ.get("gentianmux.socket"))
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -436,10 +436,10 @@
     assert entry is not None
     short = world.submit("e0", run_s=0.5).spec
     long = world.submit("e0", run_s=4.0).spec
-    assert entry.accepts(long)
-    entry._shutdown_at = world.time + 2.0
-    assert entry.accepts(short)
-    assert not entry.accepts(long)
+    assert entry.shutdown.accepts(long)
+    entry.shutdown._ends_at = world.time + 2.0
+    assert entry.shutdown.accepts(short)
+    assert not entry.shutdown.accepts(long)
 
 
 def test_job_is_kept_while_all_agents_refuse_for_a_moment() -> None:
@@ -671,21 +671,21 @@
     world = ready_world()
     entry = world.entries["e0"].entry
     assert entry is not None
-    entry.begin_shutdown(world.time + 5.0)
+    entry.shutdown.begin(world.time + 5.0)
     first = world.submit("e0", tasks=1, run_s=0.05)
     world.run(0.1)
     assert outcome(first) is JobOutcome.COMPLETED
-    assert not entry.is_drained()
+    assert not entry.shutdown.is_drained()
     world.run(0.05)
     last = world.submit("e0", tasks=1, run_s=0.05)
-    assert entry.accepts(last.spec)
-    assert not entry.is_drained()
+    assert entry.shutdown.accepts(last.spec)
+    assert not entry.shutdown.is_drained()
     world.run(0.1)
     assert outcome(last) is JobOutcome.COMPLETED
-    assert not entry.is_drained()
+    assert not entry.shutdown.is_drained()
     world.run(0.11)
-    assert entry.is_drained()
-    assert not entry.accepts(last.spec)
+    assert entry.shutdown.is_drained()
+    assert not entry.shutdown.accepts(last.spec)
 
 
 @pytest.mark.parametrize("mbits, agents", [(2, 12), (25, 24)])
