A job ends when the last of its callers leaves, however many there were

What callers would see: a job that goes on after both of its connections broke, beside its second runs at another entry.

Cause: a caller was counted out only when its request ended. The first of two to leave still counted, so the second was never the last.

Change: a caller is counted out when its connection ends.

Evidence: `test_job_ends_when_the_last_of_its_callers_leaves` fails on the code before; after three callers have left, the job is not abandoned.

--- a/src/gentianmux/leased/caller_watch.py
+++ b/src/gentianmux/leased/caller_watch.py
@@ -41,7 +41,8 @@
     try:
         handle.done.wait(max(RESULT_GRACE_S, remaining_s))
     finally:
-        handle.waiters -= 1
+        if watch is None or not watch.has_left:
+            handle.waiters -= 1
         if watch is not None:
             watch.stop()
     if handle.result is None:
@@ -66,14 +67,20 @@
     sock : socket
         The caller's connection.
 
+    Attributes
+    ----------
+    has_left : bool
+        Whether the caller has left; it then counts no longer among those that wait for the job.
+
     Examples
     --------
     ``watch = CallerWatch(entry, handle, sock)``, and ``watch.stop()`` before the answer is sent.
     """
 
     def __init__(self, entry: Entry, handle: JobHandle, sock: Any) -> None:
+        self.has_left = False
         self._entry = entry
-        self._ticket = handle
+        self._handle = handle
         self._sock = sock
         self._watcher = gevent.get_hub().loop.io(sock.fileno(), READABLE)
         self._watcher.start(self._on_readable)
@@ -84,10 +91,14 @@
         self._watcher.close()
 
     def _on_readable(self) -> None:
-        """Stop the job if the caller has disconnected; other data is its next request."""
+        """Stop the job if its last caller has disconnected; other data is the next request."""
         self._watcher.stop()
-        if self._is_disconnected() and self._ticket.waiters <= 1:
-            self._entry.abandon(self._ticket, "the caller left")
+        if not self._is_disconnected():
+            return
+        self.has_left = True
+        self._handle.waiters -= 1
+        if self._handle.waiters <= 0:
+            self._entry.abandon(self._handle, "the caller left")
 
     def _is_disconnected(self) -> bool:
         try:
--- a/tests/test_caller_watch.py
+++ b/tests/test_caller_watch.py
@@ -108,5 +108,22 @@
     assert entry.abandoned == ["the caller left"]
 
 
+def test_job_ends_when_the_last_of_its_callers_leaves() -> None:
+    """Guards against a caller that has left and counts on, so that runs outlive a resubmission."""
+    entry = RefusingEntry()
+    handle = entry.handle()
+    pairs = [gsocket.socketpair() for _ in range(3)]
+    for ours, _ in pairs:
+        gevent.spawn(wait_for_result, entry, handle, ours)
+    gevent.sleep(0.01)
+    for left, (_, callers) in enumerate(pairs, start=1):
+        assert entry.abandoned == []
+        callers.close()
+        gevent.sleep(0.01)
+        assert bool(entry.abandoned) == (left == len(pairs))
+    assert entry.abandoned == ["the caller left"]
+    assert handle.waiters == 0
+
+
 if __name__ == "__main__":
     serve_and_call(later=bool(sys.argv[1]))
