Runs, states of endpoints and unreadable heartbeats have modules of their own

Change: run_state.py holds one run, endpoint_states.py what entries are told of an endpoint, unreadable_heartbeats.py the heartbeats that cannot be used. Nothing else is changed.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -8,7 +8,6 @@
 
 from ..clock import Clock, run_periodically
 from ..messages import (
-    EndpointState,
     Hello,
     Holding,
     RunRef,
@@ -22,6 +21,7 @@
 from .config_transfer import ConfigTransfer
 from .endpoint_health import EndpointHealth
 from .endpoint_poller import EndpointPoller, PollerHooks
+from .endpoint_states import EndpointStates
 from .endpoint_tracker import EndpointTracker, TrackerHooks
 from .entry_leases import REPORT_INTERVAL_S
 from .entry_reporter import EntryReporter, Load
@@ -33,11 +33,12 @@
     EndpointDriver,
     EndpointReport,
 )
-from .resources import NO_RESOURCES, Resources
+from .resources import Resources
 from .run_monitor import RunMonitor
 from .run_starter import RunStarter
+from .run_state import FinishedRun
 from .run_stopper import RunStopper
-from .run_table import FinishedRun, RunTable
+from .run_table import RunTable
 from .settings import LeasedSettings
 
 MAINTENANCE_INTERVAL_S = REPORT_INTERVAL_S / 2
@@ -114,8 +115,9 @@
             self._on_unanswered_poll,
         )
         ctx.poller = EndpointPoller(driver, ctx.table, metrics, clock, ctx.lease_s, hooks)
+        self._states = EndpointStates(ctx)
         ctx.reporter = EntryReporter(links, clock, self._current_load, ctx.has_runs_of)
-        self.shutdown = AgentShutdown(ctx, self._starter, self._stopper, self._send_state)
+        self.shutdown = AgentShutdown(ctx, self._starter, self._stopper, self._states)
         self.on_message = AgentMessages(
             ctx,
             self._starter,
@@ -163,7 +165,7 @@
 
     def on_unreadable_heartbeat(self, endpoint: str, reason: str) -> None:
         """Count and log a heartbeat that cannot be decoded."""
-        self._ctx.tracker.handle_unreadable(endpoint, reason)
+        self._ctx.tracker.unreadable.record(endpoint, reason)
 
     def on_shutdown_notice(self, endpoint: str, born: int = 0) -> None:
         """Handle a shutdown notice; ``born`` is 0 if it does not carry the endpoint's start."""
@@ -171,10 +173,10 @@
 
     def _update_endpoint(self, change: Callable[..., None], *args: Any) -> None:
         """Apply a change to the tracked endpoint, and notify entries if its state differs."""
-        before = self._endpoint_state()
+        before = self._states.current()
         change(*args)
-        if self._endpoint_state() != before:
-            self._send_state()
+        if self._states.current() != before:
+            self._states.send()
             self._ctx.reporter.schedule_report()
             # Added capacity goes to those who wait, without another message of theirs.
             self._ctx.reporter.offer_resources()
@@ -238,7 +240,7 @@
         self._monitor.check_progress()
         self._stopper.send_due_stops()
         if reconciled_changed:
-            self._send_state()
+            self._states.send()
         if finished:
             self._ctx.reporter.offer_resources()
         self._ctx.tracker.detach_if_departed()
@@ -262,7 +264,7 @@
         self._stopper.send_due_stops()
 
     def _on_evacuations(self, _evacuations: Evacuations) -> None:
-        self._send_state()
+        self._states.send()
         self._ctx.reporter.schedule_report()
 
     def check_entry_leases(self) -> None:
@@ -285,7 +287,7 @@
         held += [RunRef(*key) for key in sorted(self._starter.replacing)]
         self._evacuation_broadcast.send_to(entry)
         self._ctx.cancel_broadcast.send_all(entry)
-        self._ctx.links.send(entry, self._endpoint_state())
+        self._states.send_to(entry)
         self._ctx.links.send(entry, Holding(self._ctx.reporter.applied.get(entry, 0), held))
         self._ctx.reporter.resend_ended(entry)
         self._ctx.reporter.schedule_report()
@@ -294,28 +296,6 @@
         """Drop the entry's grant; its runs go on until its lease expires, as it may reconnect."""
         self._ctx.reporter.grants.remove(entry)
 
-    def _endpoint_state(self) -> EndpointState:
-        report = self.report
-        if report is not None and not self._ctx.tracker.is_confirmed:
-            report = report._replace(capacity=NO_RESOURCES)
-        if report is None:
-            return EndpointState(
-                "", self._ctx.cfg.service, self._ctx.cfg.failure_domain, 0, 0, 0, [], False
-            )
-        return EndpointState(
-            report.endpoint,
-            report.service,
-            report.failure_domain,
-            *report.capacity,
-            list(report.labels),
-            self._ctx.is_accepting,
-            report.born,
-        )
-
-    def _send_state(self) -> None:
-        for entry in self._ctx.links.processes():
-            self._ctx.links.send(entry, self._endpoint_state())
-
     def stop_offering(self, entries: set[str]) -> set[str]:
         """Offer no more resources to entries; return those that had none on offer and are idle."""
         idle = {
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -13,7 +13,8 @@
 from .links import Links
 from .model import EndpointDriver, EndpointReport, RunOutcome
 from .resources import NO_RESOURCES, Resources
-from .run_table import FinishedRun, RunTable
+from .run_state import FinishedRun
+from .run_table import RunTable
 from .settings import LeasedSettings, lease_s
 from .shutdown import UNBOUNDED_ESTIMATE_MS, max_estimate_ms
 
--- a/src/gentianmux/leased/agent_shutdown.py
+++ b/src/gentianmux/leased/agent_shutdown.py
@@ -1,10 +1,9 @@
 """Drains an agent whose process has to stop."""
 
-from collections.abc import Callable
-
 import gevent
 
 from .agent_context import AgentContext
+from .endpoint_states import EndpointStates
 from .model import RunOutcome
 from .run_starter import RunStarter
 from .run_stopper import RunStopper
@@ -31,7 +30,7 @@
         Knows the runs that wait to be started.
     stopper : RunStopper
         Stops the runs that are left.
-    send_state : callable
+    states : EndpointStates
         Sends entries the state of the endpoint.
 
     Examples
@@ -44,12 +43,12 @@
         ctx: AgentContext,
         starter: RunStarter,
         stopper: RunStopper,
-        send_state: Callable[[], None],
+        states: EndpointStates,
     ) -> None:
         self._ctx = ctx
         self._starter = starter
         self._stopper = stopper
-        self._send_state = send_state
+        self._states = states
         self._idle_since: float | None = None
 
     def begin(self, until: float) -> None:
@@ -69,7 +68,7 @@
         if self._idle_since is None:
             self._idle_since = now
             self._ctx.shutdown_at = now
-            self._send_state()
+            self._states.send()
             self._ctx.reporter.send_reports()
         return now - self._idle_since > SHUTDOWN_GRACE_S
 
@@ -79,7 +78,7 @@
         while not self.is_drained() and self._ctx.clock.now() < until:
             gevent.sleep(CHECK_INTERVAL_S)
         self._ctx.shutdown_at = self._ctx.clock.now()
-        self._send_state()
+        self._states.send()
         self._stop_remaining()
         last = self._ctx.clock.now() + LAST_REPORTS_TIMEOUT_S
         while self._has_unreported_runs() and self._ctx.clock.now() < last:
--- a/src/gentianmux/leased/endpoint_poller.py
+++ b/src/gentianmux/leased/endpoint_poller.py
@@ -10,7 +10,8 @@
 from ..clock import Clock, run_periodically
 from ..metrics import Metrics
 from .model import EndpointDriver, EndpointGone, EndpointStartedAgain, HoldReply, NoAnswer
-from .run_table import FinishedRun, RunTable
+from .run_state import FinishedRun
+from .run_table import RunTable
 
 POLL_WAIT_S = 0.08
 """How long a poll waits for a run to end, and so the interval at which progress is seen and leases
--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -6,14 +6,15 @@
 from loguru import logger
 
 from ..clock import Clock
-from ..codes import ResultCode
 from ..metrics import Metrics
 from .config_feed import ConfigFeed
 from .heartbeat_kind import HeartbeatKind, classify_heartbeat
 from .model import EndpointDriver, EndpointReport
 from .resources import NO_RESOURCES, Resources
-from .run_table import FinishedRun, RunTable
+from .run_state import FinishedRun
+from .run_table import RunTable
 from .settings import LeasedSettings
+from .unreadable_heartbeats import UnreadableHeartbeats
 
 ANNOUNCED_SEQUENCE = 0
 """Number of a report that was read from an announcement; heartbeats count from 1."""
@@ -22,9 +23,6 @@
 """Seconds after a resume during which a heartbeat does not confirm the endpoint: it may have waited
 in a socket since before the suspension."""
 
-MAX_LOGGED_WRITERS = 100
-"""Senders of unreadable heartbeats that are remembered, so that each is logged once."""
-
 MAX_PRESENCE_PROBES = 3
 """How often an endpoint is asked whether a heartbeat of another incarnation is its own: answers may
 be lost, and the next heartbeat is seconds away."""
@@ -84,6 +82,8 @@
         Whether the endpoint's capacity has changed in this incarnation.
     is_departing : bool
         Whether the endpoint has sent its shutdown notice, and runs there have yet to end.
+    unreadable : UnreadableHeartbeats
+        Records heartbeats that cannot be used; what is known of the endpoint stays.
 
     Examples
     --------
@@ -115,7 +115,7 @@
         self._tracked_id = ""
         self._switch_count = 0
         self._departed: tuple[str, int] | None = None
-        self._unreadable_writers: set[str] = set()
+        self.unreadable = UnreadableHeartbeats(metrics)
 
     @property
     def is_confirmed(self) -> bool:
@@ -132,9 +132,9 @@
         """Classify a heartbeat, and accept it, skip it or switch to its incarnation."""
         kind = classify_heartbeat(report, self._newest)
         if kind is HeartbeatKind.WITHOUT_START:
-            self.handle_unreadable(report.endpoint, "born is missing")
+            self.unreadable.record(report.endpoint, "born is missing")
         elif not self._has_known_service(report, kind):
-            self.handle_unreadable(report.endpoint, f"service {report.service[:40]!r} is not known")
+            self.unreadable.record(report.endpoint, f"service {report.service[:40]!r} is not known")
         elif kind is HeartbeatKind.OVERTAKEN:
             self._skip_overtaken(report)
         elif kind is HeartbeatKind.ENDED or (report.endpoint, report.born) == self._departed:
@@ -146,23 +146,6 @@
         else:
             self._switch_to(report, kind)
 
-    def handle_unreadable(self, endpoint: str, reason: str) -> None:
-        """Drop a heartbeat that cannot be used; what is known of the endpoint stays.
-
-        It is logged once per sender: an unrelated one may send for as long as the process lives.
-        """
-        self._metrics.count("heartbeats_unreadable")
-        if (
-            endpoint in self._unreadable_writers
-            or len(self._unreadable_writers) >= MAX_LOGGED_WRITERS
-        ):
-            return
-        self._unreadable_writers.add(endpoint)
-        code = int(ResultCode.BAD_FIELD)
-        logger.bind(endpoint=endpoint[:100], code=code, reason=reason).warning(
-            "heartbeat unreadable"
-        )
-
     def handle_shutdown_notice(self, endpoint: str, born: int) -> None:
         """Handle a shutdown notice; ``born`` is 0 if it does not carry the endpoint's start.
 
--- a/src/gentianmux/leased/run_monitor.py
+++ b/src/gentianmux/leased/run_monitor.py
@@ -5,8 +5,8 @@
 from .agent_context import AgentContext
 from .model import RunOutcome
 from .progress import SLOW_FACTOR, STALL_TIMEOUT_S
+from .run_state import Phase, Run
 from .run_stopper import RunStopper
-from .run_table import Phase, Run
 
 SLOW_MARGIN_MS = 100
 """Tolerance for the resolution at which progress is observed."""
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -6,8 +6,8 @@
 from .agent_context import AgentContext, job_id_of
 from .model import RunOutcome, StartResult
 from .resources import Resources
+from .run_state import RunKey
 from .run_stopper import RunStopper
-from .run_table import RunKey
 from .withdrawn_runs import WithdrawnRuns
 
 REPLACE_TIMEOUT_S = 0.8
--- a/src/gentianmux/leased/run_stopper.py
+++ b/src/gentianmux/leased/run_stopper.py
@@ -4,7 +4,7 @@
 
 from .agent_context import AgentContext
 from .model import RunOutcome
-from .run_table import RunKey
+from .run_state import RunKey
 
 
 class RunStopper:
--- a/src/gentianmux/leased/withdrawn_runs.py
+++ b/src/gentianmux/leased/withdrawn_runs.py
@@ -1,6 +1,6 @@
 """Runs that entries have withdrawn, whose assignments are refused if they arrive later."""
 
-from .run_table import RunKey
+from .run_state import RunKey
 
 RETENTION_S = 10.0
 """Seconds for which a withdrawal is kept; longer than an assignment can be delayed on a replaced
--- a/tests/test_run_end_proofs.py
+++ b/tests/test_run_end_proofs.py
@@ -130,7 +130,7 @@
     assert agent.table.runs
     entry = world.entries["e0"].entry
     assert entry is not None
-    entry.on_message(agent._endpoint_state(), "w0.1")
+    entry.on_message(agent._states.current(), "w0.1")
     world.run(5.0)
     assert outcome(job) is JobOutcome.COMPLETED
     assert_invariants_hold(world)
