Agents check progress and entry leases with less work

Most of it is the comparison of active runs, made anew with each run that ends, and the leases of entries, looked up for each run.

Change: progress is checked at most each 50 ms; leases are looked up once for each entry; an answered poll is not asked for its runs' answers too; expected run times are computed where they are used.

--- a/src/gentianmux/leased/endpoint_poller.py
+++ b/src/gentianmux/leased/endpoint_poller.py
@@ -148,9 +148,8 @@
         """Poll the endpoint once and renew its run leases; false if it did not answer."""
         self._hooks.before_poll()
         reconciled = self._table.is_reconciled
-        answered_recently = self._clock.now() - self._last_answer_at() < RENEWAL_GRACE_S
         # Leases of runs that an earlier agent started are not renewed: those runs have to end.
-        is_known = reconciled and answered_recently and self.is_confirmed
+        is_known = reconciled and self._has_answered_recently() and self.is_confirmed
         renew_s = self._renewal_s() if is_known else 0.0
         wait_s = self._wait_s()
         timeout_s = wait_s + POLL_TIMEOUT_MARGIN_S
@@ -193,10 +192,12 @@
         """
         return 0 if self._unanswered_polls else self._table.acknowledged
 
-    def _last_answer_at(self) -> float:
-        """When the endpoint last answered a poll or confirmed the start of an active run."""
-        confirmed = (run.answered_at for run in self._table.runs.values() if run.confirmed)
-        return max(self._answered_at, max(confirmed, default=0.0))
+    def _has_answered_recently(self) -> bool:
+        """Whether the endpoint has answered a poll, or confirmed the start of an active run."""
+        since = self._clock.now() - RENEWAL_GRACE_S
+        if self._answered_at > since:
+            return True
+        return any(r.answered_at > since for r in self._table.runs.values() if r.confirmed)
 
     def poll_now(self) -> None:
         """Poll without waiting, in addition to the poll that waits for a run to end."""
--- a/src/gentianmux/leased/run_monitor.py
+++ b/src/gentianmux/leased/run_monitor.py
@@ -1,5 +1,8 @@
 """Monitors the runs at an agent's endpoint and stops those that will not end in time."""
 
+from collections.abc import Iterator
+from math import inf
+
 from loguru import logger
 
 from .agent_context import AgentContext
@@ -11,6 +14,10 @@
 SLOW_MARGIN_MS = 100
 """Tolerance for the resolution at which progress is observed."""
 
+CHECK_INTERVAL_S = 0.05
+"""Shortest interval between checks: a poll returns early with each run that ends, and progress in
+whole percents hardly changes in less."""
+
 DRAIN_OVERRUN_S = 0.3
 """How far a run may exceed the time left at a draining endpoint before it is moved."""
 
@@ -33,10 +40,14 @@
     def __init__(self, ctx: AgentContext, stopper: RunStopper) -> None:
         self._ctx = ctx
         self._stopper = stopper
+        self._checked_at = -inf
 
     def check_progress(self) -> None:
         """Stop stalled runs, and eject the endpoint while most of its runs are slow."""
         now = self._ctx.clock.now()
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
         running = [run for run in self._ctx.table.runs.values() if run.phase is Phase.RUNNING]
         resumed_at = self._ctx.clock.resumed_at
         # A run makes no progress while its machine is suspended, and its rate counts that time.
@@ -50,9 +61,7 @@
             self._ctx.metrics.count("runs_stalled", len(stalled))
             self._ctx.health.stalled(len(stalled), now)
         measured = [run for run in running if run.began >= resumed_at]
-        bounds = ((run.progress.least_ms(), run.expected_ms) for run in measured)
-        ratios = [least / expected for least, expected in bounds if least is not None]
-        self._observe_speed(ratios, len(measured), now)
+        self._observe_speed(list(_least_ratios(measured)), len(measured), now)
         slow = [run for run in measured if self._is_slow(run, now)]
         if len(slow) >= 2 and len(slow) * 2 > len(running):
             self._ctx.health.eject(now)
@@ -85,3 +94,11 @@
                 self._stopper.stop(
                     run.key, RunOutcome.STOPPED, "the endpoint drains before it would end"
                 )
+
+
+def _least_ratios(runs: list[Run]) -> Iterator[float]:
+    """Lower bounds on run time over expected run time, of the runs for which one is known."""
+    for run in runs:
+        least_ms = run.progress.least_ms()
+        if least_ms is not None:
+            yield least_ms / run.expected_ms
--- a/src/gentianmux/leased/run_stopper.py
+++ b/src/gentianmux/leased/run_stopper.py
@@ -65,8 +65,9 @@
         Called before each renewal too: a process that was paused may poll before it checks leases.
         """
         now = self._ctx.clock.now()
-        for run in list(self._ctx.table.runs.values()):
-            if not self._ctx.reporter.leases.holds(run.entry, now):
-                expired_at = self._ctx.reporter.leases.expires_at(run.entry)
-                self.stop_in_time(run.key, f"{run.entry} no longer echoes", expired_at)
+        leases = self._ctx.reporter.leases
+        entries = {run.entry for run in self._ctx.table.runs.values()}
+        for entry in sorted(entry for entry in entries if not leases.holds(entry, now)):
+            for run in self._ctx.table.of_entry(entry):
+                self.stop_in_time(run.key, f"{entry} no longer echoes", leases.expires_at(entry))
         self.send_due_stops()
