--- a/src/gentianmux/leased/run_table.py
+++ b/src/gentianmux/leased/run_table.py
@@ -37,6 +37,7 @@
         self.unknown_runs: set[RunKey] = set()
         self.is_polled = False
         self._leases_ended = False
+        # When the stop of each was confirmed; infinite until then.
         self._late_starts: dict[RunKey, float] = {}
         self._stop_sent_at: dict[RunKey, float] = {}
 
