An agent computes its endpoint's speed only when runs have ended

Cause: it was computed before and after each poll, also when no run had ended.

Change: polls without ended runs leave it alone.

The tests of speeds, units and suspensions pass.

--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -124,6 +124,12 @@
     def handle_finished(self, finished: list[FinishedRun]) -> None:
         """Report finished runs to their entries and update the endpoint's health."""
         now = self.clock.now()
+        if finished:
+            self._record_finished(finished, now)
+        if self.health.is_ejected(now):
+            self.reporter.schedule_report()
+
+    def _record_finished(self, finished: list[FinishedRun], now: float) -> None:
         before = self.health.slowness(), self.health.speed.changes
         for run, how in finished:
             ran_s = now - run.began
@@ -146,10 +152,7 @@
             self.reporter.record_ended(run.entry, *run.key, how, int(ran_s * 1000))
         for entry in {run.entry for run, _ in finished}:
             self.reporter.send_ended(entry)
-        if finished:
-            self._note_speed(before, now)
-        if self.health.is_ejected(now):
-            self.reporter.schedule_report()
+        self._note_speed(before, now)
 
     def _note_speed(self, before: tuple[float, int], now: float) -> None:
         """Show the endpoint's speed to operators, and log when it has changed."""
