--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -423,7 +423,6 @@
         self.processes = {}
         self._tasks = []
         self.store = Store(f"{self._net}.250:{self._ports[0]}", self.record)
-        self.store_address = self.store.address
         self.entries = [f"front-{n}" for n in range(entries)]
         self.agents = [f"side-{n}" for n in range(agents)]
         self.executors = [
@@ -450,6 +449,10 @@
         number = {"front": 1, "readiness": 2, "control": 3, "peer": 4}[what]
         return f"{self._ip(name)}:{self._ports[number]}"
 
+    def store_address_of(self, name):
+        """Address at which a process reaches the store; a case may put a proxy there."""
+        return self.store.address
+
     def _settings(self, name):
         kind = name.partition("-")[0]
         seeds = ", ".join(f'"{self.address(entry, "control")}"' for entry in self.entries[:3])
@@ -492,7 +495,7 @@
 lease_ms = 3000
 resend_ms = 1300
 [platform]
-address = "{self.store_address}"
+address = "{self.store_address_of(name)}"
 form = "log"
 keep_s = 300
 """
