--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,7 +16,7 @@
 
 CUT_S = 5.5
 ACKED_AFTER_S = 0.1
-TAKEN_BACK_AFTER_S = 12.0
+TAKEN_BACK_AFTER_S = 9.0
 ROUNDS = 2
 ZONE = "zone-0"
 
@@ -73,7 +73,7 @@
 
 
 async def load(deployment):
-    """Hand in a job of two short tasks every 0.1 s, until cancelled."""
+    """Hand in a job of two short tasks every 0.04 s, until cancelled."""
     number = 0
     pending = set()
     while True:
@@ -81,7 +81,7 @@
         each = deployment.submit(entry, f"{random.getrandbits(64):016x}", job(2, 400), 3.0)
         pending.add(asyncio.create_task(each))
         number += 1
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.04)
 
 
 async def evacuate_once(deployment):
@@ -116,7 +116,7 @@
     broken = []
     for _ in range(ROUNDS):
         broken += await evacuate_once(deployment)
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(3.0)
     pump.cancel()
     return broken
 
