--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -584,7 +584,7 @@
         return [run for executor in self.executors for run in executor.runs]
 
     def close(self):
-        """End every process that was started, and keep the ends of their logs in the record."""
+        """End every process that was started, and drop the temporary folder."""
         for task in self._tasks:
             task.cancel()
         for name, process in self.processes.items():
