Entries lock a job's id before they place its tasks

Cause: entries knew of their own jobs only; nothing kept two of them from running one id.

Change: each id is owned by one of the entries (rendezvous hashing over the connected ones), which are now connected with each other. An entry locks the id there before it places anything; the lock lasts until every lease of the job's runs is over, and moves when entries come or go. A denied job is answered 504 at once, and its caller repeats it. An owner that does not reply in 50 ms holds nothing up: the job runs unconfirmed, and a late denial ends it. Both callers' answers: the one whose job runs gets its result, the other 504.

--- a/bench/leased_links.py
+++ b/bench/leased_links.py
@@ -54,6 +54,7 @@
         self.me = me
         self.open: dict[str, int] = {}
         self.opened_in: dict[str, int] = {}
+        self.same_role: set[str] = set()
         self.heard: dict[str, float] = {}
         self.renewed: dict[str, float] = {}
         self._world = world
@@ -90,7 +91,8 @@
     def close_idle(self) -> None:
         self.close_outdated()
         for process in list(self.open):
-            if self._world.time - self.heard[process] > IDLE_TIMEOUT_S:
+            idle_s = self._world.time - self.heard[process]
+            if idle_s > IDLE_TIMEOUT_S and process not in self.same_role:
                 self.close(process)
 
     def reconnect(self, process: str) -> None:
--- a/bench/leased_world.py
+++ b/bench/leased_world.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import combinations
 from random import Random
 from typing import Any
 
@@ -392,6 +393,9 @@
                 links = machine.links
                 if links is not None and node.links is not None and self._prefers(machine, node):
                     self._open(links, node.links)
+        for one, other in combinations(self.entries.values(), 2):
+            if one.links is not None and other.links is not None:
+                self._open(one.links, other.links)
 
     def _prefers(self, machine: Machine, node: EntryNode) -> bool:
         """Whether an agent connects to an entry; it does not look for others when one is gone."""
@@ -432,6 +436,8 @@
                     del mine.open[process]
             mine.open[other.me.process] = self._count
             mine.heard[other.me.process] = self.time
+            if mine.me.role == other.me.role:
+                mine.same_role.add(other.me.process)
             mine.opened_in[other.me.process] = mine.suspensions()
         agent.on_open(entry.me)
         entry.on_open(agent.me)
--- a/src/gentianmux/leased/connectors.py
+++ b/src/gentianmux/leased/connectors.py
@@ -99,7 +99,9 @@
 
 
 class AgentConnector:
-    """Keeps an entry connected to the agents that prefer it.
+    """Keeps an entry connected to the agents that prefer it, and to all other entries.
+
+    Of two entries, the one whose name comes first dials.
 
     Parameters
     ----------
@@ -118,6 +120,7 @@
         self._me = me
         self._links = links
         self._entries = {me}
+        self._dialed: dict[str, str] = {}
         self._agents: dict[str, str] = {}
 
     def update(self, found: Announcement) -> bool:
@@ -125,12 +128,20 @@
         if found.role == "agent":
             self._agents[found.name] = found.address
             return self._reconcile(found.name)
+        if self._me < found.name:
+            self._dial_entry(found)
         if found.name not in self._entries:
             self._entries.add(found.name)
             for name in self._agents:
                 self._reconcile(name)
         return False
 
+    def _dial_entry(self, found: Announcement) -> None:
+        if self._dialed.get(found.name, found.address) != found.address:
+            self._links.stop_dialing(self._dialed[found.name])
+        self._dialed[found.name] = found.address
+        self._links.dial(found.address)
+
     def _reconcile(self, agent: str) -> bool:
         preferred = is_preferred(agent, self._entries, self._me)
         if preferred:
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -1,6 +1,6 @@
 """The entry: coordinates the jobs of its callers over all connected agents."""
 
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import gevent
 from loguru import logger
@@ -17,6 +17,8 @@
     Evacuated,
     Hello,
     Holding,
+    JobLocked,
+    LockJob,
     Message,
 )
 from ..metrics import Metrics
@@ -31,6 +33,7 @@
 from .fleet_view import FleetView
 from .job_canceller import JobCanceller
 from .job_handle import JobHandle, JobResult
+from .job_locks import JobLocks
 from .job_state import JobOutcome, JobState
 from .links import Links
 from .model import JobSpec, QueueConfig, RunOutcome
@@ -94,6 +97,8 @@
         )
         self._completions = RunCompletions(self._ctx)
         self.canceller = JobCanceller(self._ctx)
+        self._locks = JobLocks(self._ctx)
+        self._ctx.on_finished = self._locks.on_finished
         self._admission_controller = AdmissionController(self._ctx)
         self._placer = Placer(self._ctx, self._completions, self._admission_controller.policies)
         self.shutdown = EntryShutdown(self._ctx)
@@ -139,12 +144,24 @@
         job = JobState(spec, queue, now, now + time_limit_s)
         handle = JobHandle(job)
         self._ctx.jobs[spec.job_id] = handle
-        self._ctx.backlog.put(job)
         self._ctx.metrics.count("jobs_admitted")
-        self._admission_controller.policies[queue.service].record_arrival(job, now)
-        self._placer.place()
+        self._locks.acquire(job, partial(self._on_lock, handle))
         return handle
 
+    def _on_lock(self, handle: JobHandle, granted: bool) -> None:
+        """Place a job whose id is locked here; end one whose id another entry has locked."""
+        job = handle.job
+        if self._ctx.jobs.get(job.spec.job_id) is not handle:
+            return
+        if not granted:
+            self._locks.deny(job.spec.job_id)
+            self._ctx.finish(job, JobResult(JobOutcome.UNKNOWN, "another entry runs this job"))
+            return
+        self._ctx.backlog.put(job)
+        service = job.queue.service
+        self._admission_controller.policies[service].record_arrival(job, self._ctx.clock.now())
+        self._placer.place()
+
     def now(self) -> float:
         """Monotonic time in seconds, the clock of job deadlines."""
         return self._ctx.clock.now()
@@ -227,6 +244,14 @@
     def _(self, msg: Cancelled, agent: str) -> None:
         self.canceller.broadcast.take(msg, agent)
 
+    @on_message.register
+    def _(self, msg: LockJob, entry: str) -> None:
+        self._locks.on_request(msg, entry)
+
+    @on_message.register
+    def _(self, msg: JobLocked, entry: str) -> None:
+        self._locks.on_reply(msg, entry)
+
     @on_message.register
     def _(self, msg: CancelledSeen, agent: str) -> None:
         self.canceller.broadcast.take_seen(msg, agent)
@@ -241,6 +266,9 @@
         # Before any assignment: the agent may have just started.
         self._evacuation_broadcast.send_to(hello.process)
         self.canceller.broadcast.send_all(hello.process)
+        if hello.role == self._ctx.links.me.role:
+            self._locks.on_open(hello.process)
+            return
         self._completions.opened_at[hello.process] = self._ctx.clock.now()
         self._ctx.window.forget(hello.process)
         # Echo the next report at once: the connection may replace a silent one, whose entry lease
@@ -249,6 +277,9 @@
 
     def _on_close(self, agent: str) -> None:
         """Keep the agent's runs until their leases have expired, since it may connect again."""
+        if self._locks.knows(agent):
+            self._locks.on_close(agent)
+            return
         view = self._ctx.view.agents.get(agent)
         if view is not None:
             view.set_offered(NO_RESOURCES)
@@ -278,6 +309,7 @@
     def tick(self) -> None:
         """End jobs at their deadlines, decide waiting jobs, and place tasks."""
         self._check_suspension()
+        self._locks.check_timeouts()
         now = self._ctx.clock.now()
         for handle in list(self._ctx.jobs.values()):
             if now >= handle.job.deadline:
--- a/src/gentianmux/leased/entry_context.py
+++ b/src/gentianmux/leased/entry_context.py
@@ -1,6 +1,7 @@
 """State that the controllers of an entry share: jobs, assigned runs, and claims."""
 
 from collections import defaultdict
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -53,6 +54,8 @@
         Bound on the bytes in flight to agents.
     assigned_runs : dict
         For each agent's process its assigned runs, by task and number, with their jobs.
+    on_finished : callable
+        Called with each job that has ended, and whether runs of it were withdrawn.
 
     Examples
     --------
@@ -77,6 +80,7 @@
         self.backlog = Backlog()
         self.window = SendWindow(link_bytes_s)
         self.assigned_runs: defaultdict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
+        self.on_finished: Callable[[JobState, bool], None] = lambda job, had_runs: None
         self._claims: dict[str, list[Claim]] = {}
         self._claims_until = 0.0
         self._claims_version = 0
@@ -87,7 +91,8 @@
         if handle is None:
             return
         self.backlog.discard(job)
-        self._withdraw(job)
+        had_runs = self._withdraw(job)
+        self.on_finished(job, had_runs)
         handle.result = result
         took_s = self.clock.now() - job.arrived_at
         self.metrics.count("jobs_ended", label=result.outcome.value)
@@ -105,7 +110,8 @@
         ).info("job ended")
         handle.done.set()
 
-    def _withdraw(self, job: JobState) -> None:
+    def _withdraw(self, job: JobState) -> bool:
+        """Withdraw the assigned runs of a job; whether there were any."""
         by_agent: dict[str, list[RunRef]] = defaultdict(list)
         for task in job.assigned_tasks():
             by_agent[task.agent].append(RunRef(task.name, task.run))
@@ -113,6 +119,7 @@
         for agent, refs in by_agent.items():
             self.metrics.count("runs_withdrawn", len(refs))
             self.links.send(agent, Withdraw(refs))
+        return bool(by_agent)
 
     def give_up(
         self, job: JobState, reason: str, retry_after_s: int = DEFAULT_RETRY_AFTER_S
@@ -150,6 +157,10 @@
         agent.sent_signature = signature(claims)
         agent.mark_echoed()
         msg = LoadEcho(
-            agent.newest_load, self.feed.version, gives_back, claims, agent.last_ended_number
+            agent.newest_load,
+            self.feed.version,
+            gives_back,
+            claims,
+            agent.last_ended_number,
         )
         self.links.send(agent.process, msg)
--- a/src/gentianmux/leased/fleet_view.py
+++ b/src/gentianmux/leased/fleet_view.py
@@ -66,7 +66,7 @@
         self.speeds = FleetSpeeds()
         self._order: list[AgentView] = []
         self._expected: dict[str, ExpectedAgent] = {}
-        self._lease_s = lease_s
+        self.lease_s = lease_s
         self._rng = rng
 
     def get_or_add(self, process: str) -> AgentView:
@@ -84,7 +84,7 @@
     def is_expired(self, process: str, now: float) -> bool:
         """Whether every lease of the agent's runs has expired."""
         view = self.agents.get(process)
-        return view is None or now > leases_expire_at(view.last_heard_at, self._lease_s)
+        return view is None or now > leases_expire_at(view.last_heard_at, self.lease_s)
 
     def is_reachable(self, now: float) -> bool:
         """Whether any agent with an endpoint has reported lately."""
--- a/src/gentianmux/leased/links.py
+++ b/src/gentianmux/leased/links.py
@@ -1,4 +1,4 @@
-"""Connections between entries and agents: one for each peer, reopened when it breaks."""
+"""Connections between processes: one for each peer, reopened when it breaks."""
 
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -66,6 +66,8 @@
 
     Attributes
     ----------
+    me : Hello
+        The introduction of this process.
     on_open : callable
         Called with the peer's hello when a connection opens; must not block.
     on_close : callable
@@ -89,13 +91,14 @@
         self.on_open: Callable[[Hello], None] = lambda hello: None
         self.on_close: Callable[[str], None] = lambda process: None
         self.on_message: Callable[[Message, str], None] = lambda msg, process: None
-        self._identity = identity
+        self.me = identity
         self._metrics = metrics
         self._clock = clock
         self._key = cfg.peer_key.encode()
         self._open: dict[str, Conn] = {}
         self._last_frame_at: dict[str, float] = {}
         self._opened_in: dict[str, int] = {}
+        self._same_role: set[str] = set()
         self._dialers: dict[str, gevent.Greenlet] = {}
         self._reconnected_at: dict[str, float] = {}
         listener = (listeners or Listeners()).take(cfg.peer_address)
@@ -125,7 +128,7 @@
         delay_s : float
             Time in seconds that the peer is given to connect first.
         """
-        if address not in self._dialers and address != self._identity.address:
+        if address not in self._dialers and address != self.me.address:
             self._dialers[address] = gevent.spawn(self._keep_dialed, address, delay_s)
 
     def stop_dialing(self, address: str) -> None:
@@ -194,14 +197,14 @@
         frames = split_frames(iter_received(sock), self._key)
         try:
             with gevent.Timeout(HELLO_TIMEOUT_S):
-                sock.sendall(pack_frame(encode(self._identity), self._key))
+                sock.sendall(pack_frame(encode(self.me), self._key))
                 hello = _expect_hello(frames)
         except (gevent.Timeout, OSError, FrameError) as exc:
             self._metrics.count("links_refused", label=type(exc).__name__)
             sock.close()
             return
-        if hello.role == self._identity.role:
-            # Seeds may name processes of the same role; those exchange no messages.
+        if hello.role == self.me.role == "agent":
+            # Seeds may name other agents; those exchange no messages.
             self._metrics.count("links_refused", label="same_role")
             sock.close()
             return
@@ -220,12 +223,15 @@
                 # A newer connection or incarnation replaces the older one.
                 del self._open[process]
                 self._opened_in.pop(process, None)
+                self._same_role.discard(process)
                 old.close()
                 if process != hello.process:
                     self.on_close(process)
         self._open[hello.process] = conn
         self._last_frame_at[hello.process] = self._clock.now()
         self._opened_in[hello.process] = self._clock.suspensions()
+        if hello.role == self.me.role:
+            self._same_role.add(hello.process)
         conn.open()
         logger.bind(peer=hello.process, role=hello.role).info("peer connected")
         self.on_open(hello)
@@ -263,6 +269,7 @@
             del self._open[conn.process]
             self._reconnected_at.pop(conn.process, None)
             self._opened_in.pop(conn.process, None)
+            self._same_role.discard(conn.process)
             logger.bind(peer=conn.process, reason=reason).warning("peer lost")
             self.on_close(conn.process)
 
@@ -272,16 +279,17 @@
     def close_idle(self) -> None:
         """Close connections that are idle, or were opened before the machine was suspended.
 
-        Idle ones had no frame for ``IDLE_TIMEOUT_S``. On the others, frames may have waited for the
-        resume and tell what was true before it. Dialers open them again, each side then sends its
-        present state, and what was lost is sent again or withdrawn.
+        Idle ones had no frame for ``IDLE_TIMEOUT_S``; entries report nothing to one another and may
+        stay idle. On the others, frames may have waited for the resume and tell what was true
+        before it. Dialers open them again, each side then sends its present state, and what was
+        lost is sent again or withdrawn.
         """
         now = self._clock.now()
         for process in list(self._open):
             silent_s = now - self._last_frame_at[process]
             if self._is_outdated(process):
                 self.disconnect(process, SUSPENDED)
-            elif silent_s > IDLE_TIMEOUT_S:
+            elif silent_s > IDLE_TIMEOUT_S and process not in self._same_role:
                 self.disconnect(process, f"silent for {silent_s:.1f} s")
 
     def send(self, process: str, msg: Message) -> bool:
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -506,6 +506,27 @@
     number: int
 
 
+class LockJob(NamedTuple):
+    """Request to lock the id of a job, sent to the entry that owns the id.
+
+    The receiver answers a ``number`` other than 0 with ``JobLocked``. The lock expires after
+    ``hold_ms``. ``released`` are ids that the sender no longer locks; ``job_id`` is empty if it
+    only releases some.
+    """
+
+    number: int
+    job_id: str
+    hold_ms: int
+    released: list[str]
+
+
+class JobLocked(NamedTuple):
+    """Answer to ``LockJob``: whether the sender of that request may run the job."""
+
+    number: int
+    granted: bool
+
+
 class ConfigWanted(NamedTuple):
     """Request to a peer for part of its packed configuration, starting at ``offset`` bytes."""
 
@@ -558,6 +579,8 @@
     | Evacuated
     | Cancelled
     | CancelledSeen
+    | LockJob
+    | JobLocked
     | ConfigWanted
     | ConfigPiece
 )
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -56,6 +56,9 @@
     "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
     "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
     "cancels": Metric("counter", "cancels", "Cancels of callers, by whether they were accepted."),
+    "job_locks": Metric(
+        "counter", "requests", "Requests for locks of job ids, by what became of them."
+    ),
     "cancelled_jobs": Metric("gauge", "jobs", "Cancelled jobs that are remembered."),
     "jobs_cancelled_before": Metric(
         "counter", "jobs", "Requests for jobs that were cancelled before they arrived."
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -347,6 +347,18 @@
   number @0 :Int64;
 }
 
+struct LockJob {
+  number @0 :Int64;
+  jobId @1 :Text;
+  holdMs @2 :Int64;
+  released @3 :List(Text);
+}
+
+struct JobLocked {
+  number @0 :Int64;
+  granted @1 :Bool;
+}
+
 struct ConfigPiece {
   version @0 :Int64;
   offset @1 :Int64;
@@ -394,5 +406,7 @@
     evacuated @35 :Evacuated;
     cancelled @36 :Cancelled;
     cancelledSeen @37 :CancelledSeen;
+    lockJob @38 :LockJob;
+    jobLocked @39 :JobLocked;
   }
 }
--- a/tests/test_connectors.py
+++ b/tests/test_connectors.py
@@ -151,10 +151,24 @@
         connector.update(each)
     names = [f"e{n}" for n in range(10)]
     preferring = {f"x{n}" for n in range(40) if is_preferred(f"w{n}", names, "e0")}
-    assert links.dialed == preferring
+    assert links.dialed - {each.address for each in entries(10)} == preferring
     assert 8 < len(preferring) < 32
 
 
+def test_of_two_entries_the_first_by_name_dials() -> None:
+    """Guards against entries that are not connected, or whose connections replace each other."""
+    for me in range(4):
+        links = FakeLinks()
+        connector = AgentConnector(f"e{me}", links)  # type: ignore[arg-type]
+        for each in entries(4):
+            connector.update(each)
+        assert links.dialed == {each.address for each in entries(4)[me + 1 :]}
+    connector = AgentConnector("e0", links)  # type: ignore[arg-type]
+    connector.update(Announcement("e1", "entry", "old"))
+    connector.update(Announcement("e1", "entry", "new"))
+    assert "old" not in links.dialed and "new" in links.dialed
+
+
 def test_agent_reads_the_store_with_backoff_while_connections_are_missing() -> None:
     links, directory, clock = FakeLinks(), FakeDirectory(entries(2)), FakeClock()
     connector = EntryConnector("w1", links, FakeAgent(), directory, clock)  # type: ignore[arg-type]
--- a/tests/test_leased_links.py
+++ b/tests/test_leased_links.py
@@ -43,7 +43,7 @@
 
 def test_stalled_connection_is_replaced() -> None:
     with links_of("entry", "e") as (entry, _), links_of("agent", "a") as (agent, received):
-        relay = Relay(entry._identity.address)
+        relay = Relay(entry.me.address)
         agent.dial(relay.address)
         wait_for(lambda: entry.processes() == ["a.1"] and agent.processes() == ["e.1"])
         # Otherwise it reconnects to the relay, whose address differs from the one in the hello.
@@ -83,7 +83,7 @@
     """Guards against frames that waited in a socket and tell what was true before the resume."""
     with links_of("entry", "e") as (entry, _), links_of("agent", "a") as (agent, received):
         clock = agent._clock = SettableClock()
-        agent.dial(entry._identity.address)
+        agent.dial(entry.me.address)
         wait_for(lambda: entry.processes() == ["a.1"] and agent.processes() == ["e.1"])
         entry.send("a.1", LoadEcho(1, 1, False, []))
         wait_for(lambda: len(received) == 1)
