An endpoint's clock that reads 0 is a clock

Seen: test_first_calls_of_later_incarnation_use_no_earlier_connection failed in 19 of 400 runs, "status 200 without clock_ms", where an endpoint was polled in the first millisecond after its start.

Cause: PlatformEndpoint took a clock of 0 for none, so that poll counted as unanswered.

Change: None stands for a clock that is not known. The lowest fencing token is 1, since a missing one counts as 0. test_late_answer_of_earlier_incarnation_sets_no_clock looks for None in place of 0.0.

Measured: test_endpoint_whose_clock_reads_zero_is_polled fails on the code before and passes.

--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -48,6 +48,9 @@
 from the endpoint's clock, which may restart at any value, below the token of an earlier agent; ten
 calls make up for a factor of a thousand."""
 
+MIN_FENCE = 1
+"""Lowest fencing token; a missing one counts as 0."""
+
 _STATES = ("ready", "draining")
 
 _HOW = {
@@ -128,7 +131,8 @@
         self._stop_s = stop_s
         self._headers: dict[str, str] = {}
         self._fence = 0
-        self._clock_ms = 0.0
+        # None until the attached incarnation has answered; its clock may read 0 at its start.
+        self._clock_ms: float | None = None
         self._clock_at = 0.0
         self._lease_end = 0.0
         self._endpoint = ""
@@ -155,7 +159,7 @@
         self._attach_count += 1
         self._headers = {EXPECT_INSTANCE: report.endpoint}
         self._fence = 0
-        self._clock_ms = 0.0
+        self._clock_ms = None
 
     def _may_be_same(self, report: EndpointReport) -> bool:
         """Whether a report may be of the attached incarnation, by its id and what starts tell."""
@@ -275,9 +279,9 @@
         reply = self._call(self._poll_client, "/v1/hold", content, COMMAND_TIMEOUT_S)
         if reply.status == REPLACED_STATUS:
             raise EndpointGone
-        if not self._clock_ms:
+        if self._clock_ms is None:
             raise NoAnswer(f"status {reply.status} without clock_ms")
-        self._fence = max(int(self._clock_ms), self._lowest_fence)
+        self._fence = max(MIN_FENCE, int(self._clock_ms), self._lowest_fence)
 
     def _lease_until_ms(self, lease_s: float, asked_at: float) -> int:
         """End of a lease on the endpoint's clock, which may leave out suspensions.
@@ -289,7 +293,7 @@
         self._lease_end = max(
             self._lease_end, awake_at + lease_s * CLOCK_DRIFT_RATIO + self._stop_s
         )
-        return int(self._clock_ms + (awake_at - self._clock_at) * 1000 + lease_s * 1000)
+        return int((self._clock_ms or 0.0) + (awake_at - self._clock_at) * 1000 + lease_s * 1000)
 
     def _call(
         self, client: HttpClient, path: str, content: dict[str, Any], timeout_s: float
@@ -300,7 +304,8 @@
         # A late response of an earlier incarnation must not set the current one's clock.
         if reply.body and reply.status != REPLACED_STATUS and attach_count == self._attach_count:
             clock_ms = reply.json().get("clock_ms")
-            if isinstance(clock_ms, int | float) and clock_ms >= self._clock_ms:
+            known_ms = self._clock_ms or 0.0
+            if isinstance(clock_ms, int | float) and clock_ms >= known_ms:
                 self._clock_ms, self._clock_at = float(clock_ms), awake_time()
         return reply
 
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -554,6 +554,16 @@
         assert driver.start("t", 2, SPEC, 0.5, boot_time()) is StartResult.STARTED
 
 
+def test_endpoint_whose_clock_reads_zero_is_polled() -> None:
+    """Guards against an endpoint that counts as silent in the first millisecond of its clock."""
+    with attached() as (app, driver):
+        app.restart()
+        app.clock_ms = lambda: 0  # type: ignore[method-assign]
+        driver.attach(report_of(app))
+        assert driver.hold(0, 0.0, 0.5, 1.0).active == ()
+        assert app.fence > 0
+
+
 def test_connections_are_kept_when_a_heartbeat_adds_the_start_to_an_announcement() -> None:
     """Guards against needless new connections to an endpoint that has not restarted."""
     app = PlatformEndpointApp("i-1")
@@ -619,7 +629,7 @@
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(driver._command_client, "call", answer_late)
             driver.stop("t", 1)
-        assert driver._clock_ms == 0.0
+        assert driver._clock_ms is None
 
 
 @pytest.mark.parametrize("attached_before", [True, False])
