One call of the store without a response ends the use of idle connections

Cause: the attempt after the long poll that timed out took another silent connection from the pool; idle ones counted as stale after two failures only.

Change: for the store one failure is enough. Endpoints keep two, as a lost answer is common there.

Measured: test_one_unanswered_call_ends_the_use_of_all_stalled_connections fails on the code before and passes.

--- a/src/gentianmux/platform/http_client.py
+++ b/src/gentianmux/platform/http_client.py
@@ -20,8 +20,8 @@
 """Upper bound for any call; each call has a shorter timeout of its own."""
 
 STALE_AFTER_FAILURES = 2
-"""Consecutive calls without a response after which idle connections are considered stale. A single
-failure is too common to justify new connections to an endpoint."""
+"""Default of ``stale_after``. A single failure is too common to justify new connections to an
+endpoint."""
 
 
 class HttpReply(NamedTuple):
@@ -53,17 +53,22 @@
         ``ip:port``.
     connections : int
         Maximum number of connections; further calls wait for a free one.
+    stale_after : int
+        Consecutive calls without a response after which idle connections are considered stale.
 
     Examples
     --------
     ``HttpClient("127.0.0.1:80", connections=2).call("GET", "/healthz", b"", timeout_s=1.0).status``
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, stale_after: int = STALE_AFTER_FAILURES
+    ) -> None:
         ip, _, port = address.partition(":")
         self._client = HTTPClient(ip, int(port))
         self._pool = _Pool(ip, int(port), connections)
         self._client._connection_pool = self._pool
+        self._stale_after = stale_after
         self._failed_call_starts: list[float] = []
 
     def call(
@@ -98,7 +103,7 @@
     def _record_failure(self, started_at: float) -> None:
         """Mark idle connections as stale after repeated failures: all may have stalled at once."""
         self._failed_call_starts.append(started_at)
-        if len(self._failed_call_starts) >= STALE_AFTER_FAILURES:
+        if len(self._failed_call_starts) >= self._stale_after:
             self._pool.stale_before = min(self._failed_call_starts)
             self._failed_call_starts.clear()
 
--- a/src/gentianmux/platform/store.py
+++ b/src/gentianmux/platform/store.py
@@ -24,6 +24,11 @@
 """Time that a read for changes may take beyond its wait; bounds how long a stalled connection goes
 unnoticed."""
 
+STALE_AFTER_FAILURES = 1
+"""Calls without a response after which idle connections are not used again. All of them may have
+stalled at once, and a second call that waits for its timeout would delay a configuration beyond
+the 2 s within which it has to be in force."""
+
 PARTITION = 0
 """The keyed topics are small, with one record per instance, and have a single partition."""
 
@@ -53,7 +58,7 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._http = HttpClient(address, MAX_CONNECTIONS)
+        self._http = HttpClient(address, MAX_CONNECTIONS, STALE_AFTER_FAILURES)
         self._is_available = True
 
     def put(self, topic: str, key: str, value: bytes) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from platform_deployment import CONFIG, served
+from relay import Relay
 
 from gentianmux.clock import boot_time
 from gentianmux.codes import ResultCode
@@ -210,6 +211,24 @@
         assert store.newest("t").values == {"a": b"1"}
 
 
+def test_one_unanswered_call_ends_the_use_of_all_stalled_connections() -> None:
+    """Guards against a configuration that waits for two timeouts after connections stalled."""
+    app = PlatformStoreApp()
+    with served(app) as address:
+        relay = Relay(address)
+        store = PlatformStore(relay.address)
+        reader = gevent.spawn(store.changes, "t", 0, 1.0)
+        gevent.sleep(0.05)
+        store.put("t", "a", b"1")
+        reader.get()
+        assert relay.connections == 2
+        relay.silence()
+        with pytest.raises(LogError):
+            store.changes("t", 1, 0.0)
+        assert store.newest("t").values == {"a": b"1"}
+        relay.stop()
+
+
 @pytest.mark.parametrize("malformed_body", [b"[]", b"{}", b"\x00" * 30, b"x"])
 def test_malformed_answer_of_the_store_raises_log_error(malformed_body: bytes) -> None:
     app = PlatformStoreApp()
