A restarted agent starts nothing before a heartbeat

Cause: the announcement was taken for the present state unless it noted that the capacity varies. The note is not written while the store is away, and no announcement tells what changed while its agent was gone.

Change: an announcement serves to fence off the earlier process, to stop its runs and to poll. Runs start with the first heartbeat. The note is gone, as nothing depends on it.

--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -103,7 +103,6 @@
         drain_remaining_s=get_number(report, "drain_remaining_s"),
         sequence=get_int(report, "sequence"),
         born=get_int(report, "born", 0),
-        capacity_varies=get_bool(report, "capacity_varies", False),
     )
 
 
--- a/src/gentianmux/leased/endpoint_tracker.py
+++ b/src/gentianmux/leased/endpoint_tracker.py
@@ -78,8 +78,6 @@
     report : EndpointReport or None
         Newest heartbeat of the current incarnation; None while there is none, it has not reported,
         or it has sent its shutdown notice.
-    capacity_varies : bool
-        Whether the endpoint's capacity has changed in this incarnation.
     is_departing : bool
         Whether the endpoint has sent its shutdown notice, and runs there have yet to end.
     unreadable : UnreadableHeartbeats
@@ -108,7 +106,6 @@
         self._feed = feed
         self._metrics = metrics
         self._clock = clock
-        self.capacity_varies = False
         self._confirmed_in = clock.suspensions()
         self._hooks = hooks
         self._newest: EndpointReport | None = None
@@ -122,11 +119,12 @@
         """Whether a heartbeat of this incarnation has confirmed the report since the last resume.
 
         What was believed before a suspension of the machine may be outdated: the endpoint may have
-        shrunk or begun to drain. So may an announced capacity, if it varies.
+        shrunk or begun to drain. So may an announcement: the process that wrote it may have failed
+        to update it, or have been gone when the endpoint changed.
         """
         if self.report is None or self._confirmed_in != self._clock.suspensions():
             return False
-        return self.report.sequence != ANNOUNCED_SEQUENCE or not self.capacity_varies
+        return self.report.sequence != ANNOUNCED_SEQUENCE
 
     def handle_heartbeat(self, report: EndpointReport) -> None:
         """Classify a heartbeat, and accept it, skip it or switch to its incarnation."""
@@ -265,19 +263,12 @@
     def _accept(self, report: EndpointReport) -> None:
         """Accept a heartbeat of the current incarnation."""
         known = self.report
-        begins_to_vary = not self.capacity_varies and self._table.resources.capacity != (
-            report.capacity
-        )
-        self.capacity_varies = self.capacity_varies or begins_to_vary
         if self._newest is not None and report.born != self._newest.born:
             # Known so far from an announcement that does not carry the start.
             self._driver.attach(report)
         self.report = self._newest = report
         self._apply_capacity(report)
         if known is not None and report.draining == known.draining:
-            if begins_to_vary:
-                # A restarted agent must not rely on the announced capacity.
-                self._hooks.on_report_changed(report)
             return
         event = "endpoint drains" if report.draining else "endpoint is ready again"
         self._log_report(report, "endpoint found" if known is None else event)
@@ -291,7 +282,6 @@
             finished = self._table.mark_all_lost()
             self._table.reset(NO_RESOURCES)
         self._apply_capacity(report)
-        self.capacity_varies = report.capacity_varies
         self.report = self._newest = report
         self._tracked_id = report.endpoint
         self._driver.attach(report)
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -132,11 +132,7 @@
         stable = (
             None
             if report is None
-            else report._replace(
-                sequence=ANNOUNCED_SEQUENCE,
-                drain_remaining_s=0.0,
-                capacity_varies=agent.tracker.capacity_varies,
-            )
+            else report._replace(sequence=ANNOUNCED_SEQUENCE, drain_remaining_s=0.0)
         )
         directory.announce(Announcement(cfg.name, cfg.role, cfg.peer_address, stable))
 
@@ -168,8 +164,8 @@
 ) -> None:
     """Resume the endpoint announced before a restart, without waiting for a heartbeat.
 
-    The agent fences off the earlier process and stops its runs at once. If the capacity of the
-    endpoint varies, it starts none before a heartbeat has confirmed it.
+    The agent fences off the earlier process and stops its runs at once. It starts none before a
+    heartbeat, since an announcement does not tell what has changed after it was written.
     """
     if agent.report is not None:
         return
