Agents read the store while none of their entries can

Cause: agents learned of evacuations from entries only, and could not tell an informed entry from one that is cut off.

Change: each echo says whether its entry has read the store within 2.5 s. An agent without such an echo for a second reads the topic itself, and passes on what it learns, to the entries as well.

Measured: test_agents_learn_of_evacuations_while_no_entry_reaches_the_store needs the reader to pass.

--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from random import Random
 from typing import Any
 
 import gevent
@@ -27,6 +28,7 @@
 from .entry_reporter import EntryReporter, Load
 from .evacuation_broadcast import EvacuationBroadcast
 from .evacuations import Evacuations
+from .fallback_reader import FallbackReader
 from .grants import LATE_HEADROOM_RATIO
 from .links import Links
 from .model import (
@@ -69,6 +71,8 @@
     ----------
     on_message : callable
         Handles a message of an entry.
+    fallback_reader : FallbackReader
+        Reads evacuations from the store while no entry does.
     shutdown : AgentShutdown
         Drains the agent when its process has to stop.
 
@@ -125,6 +129,7 @@
             self._config_transfer,
             self._evacuation_broadcast,
         ).handle
+        self.fallback_reader = FallbackReader(ctx, Random(cfg.name))
         self._leases = ctx.reporter.leases
         links.on_open = self._on_open
         links.on_close = self._on_close
@@ -218,6 +223,7 @@
         return [
             gevent.spawn(self._ctx.poller.run),
             gevent.spawn(run_periodically, 0.0, self._maintain),
+            gevent.spawn(self.fallback_reader.run),
         ]
 
     def _maintain(self) -> None:
--- a/src/gentianmux/leased/agent_context.py
+++ b/src/gentianmux/leased/agent_context.py
@@ -47,6 +47,8 @@
         Whether the process was told to stop.
     shutdown_at : float
         Monotonic time by which runs have to end then, in seconds.
+    informed_at : float
+        Monotonic time at which an entry last told that it reads the store, in seconds.
     tracker, poller, reporter, cancel_broadcast
         Set by the agent, as they call back into it.
     """
@@ -76,6 +78,7 @@
         self.lease_s = lease_s(cfg)
         self.shutting_down = False
         self.shutdown_at = float("inf")
+        self.informed_at = clock.now()
 
     @property
     def report(self) -> EndpointReport | None:
--- a/src/gentianmux/leased/agent_messages.py
+++ b/src/gentianmux/leased/agent_messages.py
@@ -108,6 +108,8 @@
 
     @handle.register
     def _(self, msg: LoadEcho, entry: str) -> None:
+        if msg.reads_store:
+            self._ctx.informed_at = self._ctx.clock.now()
         self._ctx.reporter.record_echo(entry, msg.number)
         self._ctx.reporter.acknowledge(entry, msg.seen)
         self._ctx.reporter.on_claims(entry, msg.claims, msg.gives_back)
--- a/src/gentianmux/leased/config_feed.py
+++ b/src/gentianmux/leased/config_feed.py
@@ -1,6 +1,7 @@
 """The newest configuration and evacuations, read from the store or received from peers."""
 
 from collections.abc import Callable
+from math import inf
 
 import gevent
 from gevent.event import Event
@@ -18,6 +19,11 @@
 stalled connection to the store goes unnoticed, and must stay below the 3 s within which a new
 configuration has to be in force."""
 
+READING_S = 2.5
+"""Time since its last read after which a process counts as cut off from the store: a long poll, and
+a second for a slow store. Agents then read it themselves, well within the 5 s after which an
+evacuation has to be in force."""
+
 RETRY_DELAY_S = 0.25
 """Time between attempts while the store does not answer: several within its shortest outage."""
 
@@ -94,6 +100,12 @@
         self._metrics = metrics
         self._clock = clock
         self._offset: int | None = None
+        self._read_at = -inf
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether the store was read so lately that no change of it is unknown for long."""
+        return self._clock.now() - self._read_at < READING_S
 
     @property
     def version(self) -> int:
@@ -132,12 +144,19 @@
 
     def follow_once(self) -> None:
         """Apply the changes since the last call, waiting up to ``LONG_POLL_S`` for one."""
+        if not self.read_once():
+            gevent.sleep(RETRY_DELAY_S)
+
+    def read_once(self) -> bool:
+        """Apply the changes since the last call; false if the store did not answer."""
         offset, self._offset = self._offset, None
         try:
             self._offset = self._read_newest() if offset is None else self._follow(offset)
         except LogError as exc:
             self._metrics.count("store_errors", label=exc.code.label)
-            gevent.sleep(RETRY_DELAY_S)
+            return False
+        self._read_at = self._clock.now()
+        return True
 
     def _read_newest(self) -> int:
         newest = self._store.newest(self._source.topic)
--- a/src/gentianmux/leased/entry_context.py
+++ b/src/gentianmux/leased/entry_context.py
@@ -162,5 +162,6 @@
             gives_back,
             claims,
             agent.last_ended_number,
+            self.feed.is_reading,
         )
         self.links.send(agent.process, msg)
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -447,7 +447,8 @@
 
     ``claims`` is the demand that waits at the entry, most urgent first, for which the agent grants
     resources. ``gives_back`` is true if none of it fits the granted resources. ``seen`` is the
-    number of the last ended run received, acknowledged here to save frames.
+    number of the last ended run received, acknowledged here to save frames. ``reads_store`` tells
+    whether the entry has read the store lately, so that the agent need not.
     """
 
     number: int
@@ -455,6 +456,7 @@
     gives_back: bool
     claims: list[Claim]
     seen: int = 0
+    reads_store: bool = False
 
 
 class EndpointState(NamedTuple):
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -101,6 +101,9 @@
         "bytes",
         "What an entry may have on its way to agents; falls when its link is full.",
     ),
+    "fallback_reads": Metric(
+        "counter", "reads", "Reads of the store by an agent whose entries cannot read it."
+    ),
     "configs_unreadable": Metric("counter", "configs", "Configurations that cannot be read."),
     "store_errors": Metric("counter", "calls", "Calls of the platform's store that failed."),
     "logs_dropped": Metric("counter", "lines", "Log lines dropped since nobody took them."),
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -303,6 +303,7 @@
   givesBack @2 :Bool;
   claims @3 :List(Claim);
   seen @4 :Int64;
+  readsStore @5 :Bool;
 }
 
 struct Claim {
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -4,12 +4,16 @@
 
 from bench.leased_world import World
 from gentianmux.leased.evacuations import EvacuationFeed, Evacuations
+from gentianmux.leased.fallback_reader import CHECK_INTERVAL_S
 from gentianmux.leased.job_state import JobOutcome
 from gentianmux.leased.model import RunOutcome
 from gentianmux.messages import EndedRuns, Evacuated
 from gentianmux.metrics import Metrics
 from gentianmux.settings import Settings
 
+EVACUATION_LIMIT_S = 5.0
+"""Time after its acknowledgement by which an evacuation has to be in force."""
+
 
 def ready_world(agents: int = 6, entries: int = 2) -> World:
     world = World(agents, entries)
@@ -32,6 +36,59 @@
         world.run(0.05)
 
 
+def read_periodically(world: World, entries: tuple[str, ...]) -> None:
+    """Let agents read the store when they need to, and some entries each second."""
+    for machine in world.machines.values():
+        assert machine.agent is not None
+        step = machine.agent.fallback_reader.step
+        world.every(CHECK_INTERVAL_S, world.process_of(machine.name), step)
+    world.every(1.0, "", lambda: world.read_store(entries))
+
+
+def reads_of_agents(world: World) -> int:
+    return sum(each.agent.fallback_reader.reads for each in world.machines.values() if each.agent)
+
+
+@pytest.mark.parametrize("entries", [1, 2, 3])
+def test_agents_learn_of_evacuations_while_no_entry_reaches_the_store(entries: int) -> None:
+    """Guards against agents that hear of evacuations from entries only, all of them cut off."""
+    world = ready_world(entries=entries)
+    read_periodically(world, ())
+    names = tuple(world.entries)
+    keep_submitting(world, 3.0, names)
+    world.store.put("config", "evacuate/fd1", b"{}")
+    keep_submitting(world, EVACUATION_LIMIT_S, names)
+    world.evacuated_at["fd1"] = world.time
+    keep_submitting(world, 1.0, names)
+    assert world.breaches == []
+    assert active_runs_in(world, "fd1") == 0
+
+
+@pytest.mark.parametrize("reading", [("e0",), ("e0", "e1"), ("e2",)])
+def test_agents_read_nothing_while_one_of_their_entries_reaches_the_store(
+    reading: tuple[str, ...],
+) -> None:
+    """Guards against reads by every agent, of which the store serves a limited number."""
+    world = ready_world(entries=3)
+    read_periodically(world, reading)
+    keep_submitting(world, 6.0, ("e0", "e1", "e2"))
+    assert reads_of_agents(world) == 0
+
+
+def test_agents_stop_reading_when_an_entry_reaches_the_store_again() -> None:
+    """Guards against agents that read the store for good after a cut."""
+    world = ready_world()
+    reading: list[str] = []
+    read_periodically(world, reading)  # type: ignore[arg-type]
+    world.run(5.0)
+    before = reads_of_agents(world)
+    reading.append("e1")
+    world.run(2.0)
+    during = reads_of_agents(world)
+    world.run(5.0)
+    assert 0 < before < during == reads_of_agents(world)
+
+
 def test_no_run_begins_in_an_evacuated_domain_and_active_runs_continue() -> None:
     world = ready_world()
     early = [world.submit("e0", tasks=6, run_s=1.5) for _ in range(4)]
