A poll renews no lease past what was decided before a pause

A process that was paused in between renewed the runs of an entry whose lease had expired for up to 0.2 s past their limit.

Change: the lease begins at a time taken before all checks.

--- a/bench/leased_endpoint.py
+++ b/bench/leased_endpoint.py
@@ -269,7 +269,14 @@
             self._world.at(STOP_S + 0.0001, "", endpoint.advance)
         return True
 
-    def hold(self, acknowledged: int, wait: float, lease: float, timeout: float) -> HoldReply:
+    def hold(
+        self,
+        acknowledged: int,
+        wait: float,
+        lease: float,
+        timeout: float,
+        lease_from: float | None = None,
+    ) -> HoldReply:
         """Look at once; one whose answer is lost takes up ``timeout``."""
         if self._world.time < self.blocked_until:
             raise NoAnswer("still waiting")
--- a/src/gentianmux/leased/endpoint_poller.py
+++ b/src/gentianmux/leased/endpoint_poller.py
@@ -146,6 +146,8 @@
 
     def poll(self) -> bool:
         """Poll the endpoint once and renew its run leases; false if it did not answer."""
+        # Before all checks: they hold for a lease that begins now, also after a pause.
+        lease_from = self._clock.now()
         self._hooks.before_poll()
         reconciled = self._table.is_reconciled
         # Leases of runs that an earlier agent started are not renewed: those runs have to end.
@@ -156,7 +158,7 @@
         incarnation = self.incarnation
         suspensions = self._clock.suspensions()
         try:
-            reply = self._driver.hold(self._acknowledged, wait_s, renew_s, timeout_s)
+            reply = self._driver.hold(self._acknowledged, wait_s, renew_s, timeout_s, lease_from)
         except EndpointGone:
             if incarnation == self.incarnation:
                 self._hooks.on_gone("another endpoint answers in its place")
--- a/src/gentianmux/leased/model.py
+++ b/src/gentianmux/leased/model.py
@@ -252,9 +252,19 @@
         """Stop a run, even if its start is still in flight; whether the endpoint confirmed it."""
         ...
 
-    def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
+    def hold(
+        self,
+        acknowledged: int,
+        wait_s: float,
+        lease_s: float,
+        timeout_s: float,
+        lease_from: float | None = None,
+    ) -> HoldReply:
         """Renew the lease of all runs (none if ``lease_s`` is 0) and wait for one of them to end.
 
+        The lease begins at ``lease_from``, monotonic time, or now if that is None. A process that
+        was paused after its decision then renews no further than it has decided.
+
         Raises
         ------
         EndpointGone
--- a/src/gentianmux/platform/endpoint.py
+++ b/src/gentianmux/platform/endpoint.py
@@ -238,15 +238,22 @@
             return False
         return reply.status in (200, REPLACED_STATUS)
 
-    def hold(self, acknowledged: int, wait_s: float, lease_s: float, timeout_s: float) -> HoldReply:
+    def hold(
+        self,
+        acknowledged: int,
+        wait_s: float,
+        lease_s: float,
+        timeout_s: float,
+        lease_from: float | None = None,
+    ) -> HoldReply:
         """Renew the lease of all runs (none if ``lease_s`` is 0) and wait for a run to end."""
-        # Taken first: the lease must not begin later than its caller has decided on it.
         asked_at = boot_time()
         if not self._fence:
             self._acquire_fence()
         content: dict[str, Any] = {"acknowledged": acknowledged, "wait_ms": int(wait_s * 1000)}
         if lease_s:
-            content["until_ms"] = self._lease_until_ms(lease_s, asked_at)
+            begins_at = asked_at if lease_from is None else lease_from
+            content["until_ms"] = self._lease_until_ms(lease_s, begins_at)
         reply = self._call(self._poll_client, "/v1/hold", content, timeout_s)
         if reply.status == REPLACED_STATUS:
             raise EndpointGone
--- a/tests/test_run_end_proofs.py
+++ b/tests/test_run_end_proofs.py
@@ -198,3 +198,30 @@
     world.run(0.3)
     assert len(agent.table.runs) == 3
     assert endpoint.lease_until <= expires_at + agent._ctx.lease_s / SLOW_CLOCK
+
+
+def test_pause_between_check_and_poll_renews_no_lease_past_its_limit() -> None:
+    """Guards against a lease that begins after a pause, though it was decided before."""
+    world = ready_world(agents=1)
+    world.submit("e0", tasks=4, run_s=5.0, time_limit_s=9.0)
+    world.run(0.3)
+    agent, entry = agent_of(world), world.process_of("e0")
+    world.kill(entry)
+    world.run(0.3)
+    assert agent.table.runs
+    limit = agent._ctx.reporter.leases.expires_at(entry) + agent._ctx.lease_s
+    poller, asked_until = agent.poller, []
+    check, hold = poller._hooks.before_poll, poller._driver.hold
+
+    def check_and_pause() -> None:
+        check()
+        world.time += 0.2
+
+    def record(acknowledged: int, wait: float, lease: float, timeout: float, *since: float):
+        asked_until.append((since[0] if since else world.time) + lease)
+        return hold(acknowledged, wait, lease, timeout)
+
+    poller._hooks = poller._hooks._replace(before_poll=check_and_pause)
+    poller._driver.hold = record
+    assert poller.poll()
+    assert asked_until[0] <= limit + 1e-6
