--- a/bench/leased_capacity.py
+++ b/bench/leased_capacity.py
@@ -10,10 +10,10 @@
 from bench.processes import ROOT
 from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.job_state import JobState
+from gentianmux.leased.messages import AgentLoad, EndpointState
 from gentianmux.leased.model import JobSpec, QueueConfig, StepSpec
 from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import AgentLoad, EndpointState
 
 RESULT = ROOT / "bench" / "results" / "leased_capacity.json"
 SIZES = (11, 60, 300, 1000, 11_000)
--- a/bench/leased_speed.py
+++ b/bench/leased_speed.py
@@ -24,6 +24,7 @@
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
 from gentianmux.leased.entry import Entry
 from gentianmux.leased.fleet_view import FleetView
+from gentianmux.leased.messages import AgentLoad, Assign, EndedRun, EndedRuns, EndpointState
 from gentianmux.leased.model import (
     JobConfig,
     JobSpec,
@@ -33,16 +34,7 @@
     StepSpec,
 )
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import (
-    PROTOCOL_VERSION,
-    AgentLoad,
-    Assign,
-    EndedRun,
-    EndedRuns,
-    EndpointState,
-    Hello,
-    Message,
-)
+from gentianmux.messages import PROTOCOL_VERSION, Hello, Message
 from gentianmux.metrics import Metrics
 from gentianmux.platform_log import MemoryKeyedLog
 from gentianmux.settings import Settings
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -8,11 +8,7 @@
 import gevent
 
 from ..clock import Clock, run_periodically
-from ..messages import (
-    Hello,
-    Holding,
-    RunRef,
-)
+from ..messages import Hello
 from ..metrics import Metrics
 from .agent_context import AgentContext, job_id_of
 from .agent_messages import AgentMessages
@@ -31,6 +27,7 @@
 from .fallback_reader import FallbackReader
 from .grants import LATE_HEADROOM_RATIO
 from .links import Links
+from .messages import Holding, RunRef
 from .model import (
     EndpointDriver,
     EndpointReport,
--- a/src/gentianmux/leased/agent_messages.py
+++ b/src/gentianmux/leased/agent_messages.py
@@ -4,19 +4,11 @@
 
 from loguru import logger
 
-from ..messages import (
-    Assign,
-    Cancelled,
-    ConfigPiece,
-    ConfigWanted,
-    Evacuated,
-    LoadEcho,
-    Message,
-    Withdraw,
-)
+from ..messages import Message
 from .agent_context import AgentContext
 from .config_transfer import ConfigTransfer
 from .evacuation_broadcast import EvacuationBroadcast
+from .messages import Assign, Cancelled, ConfigPiece, ConfigWanted, Evacuated, LoadEcho, Withdraw
 from .model import RunOutcome
 from .payloads import decode_payload
 from .run_starter import RunStarter
--- a/src/gentianmux/leased/agent_view.py
+++ b/src/gentianmux/leased/agent_view.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from ..messages import AgentLoad, EndpointState
 from .claims import Signature
 from .entry_leases import ENTRY_LEASE_S
+from .messages import AgentLoad, EndpointState
 from .resources import NO_RESOURCES, Resources
 from .shutdown import UNBOUNDED_ESTIMATE_MS
 
--- a/src/gentianmux/leased/cancel_broadcast.py
+++ b/src/gentianmux/leased/cancel_broadcast.py
@@ -6,10 +6,10 @@
 from loguru import logger
 
 from ..clock import Clock
-from ..messages import Cancelled, CancelledSeen
 from ..metrics import Metrics
 from .cancellations import Cancellations
 from .links import Links
+from .messages import Cancelled, CancelledSeen
 
 RELAY_DELAY_S = 0.01
 """Delay before cancelled jobs are passed on, which combines many into one message."""
--- a/src/gentianmux/leased/claims.py
+++ b/src/gentianmux/leased/claims.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from itertools import islice
 
-from ..messages import Claim
 from .backlog import Demand
+from .messages import Claim
 
 MAX_CLAIMS = 4
 """Most claims of one entry for one service; the least urgent classes beyond it are left out."""
--- a/src/gentianmux/leased/config_transfer.py
+++ b/src/gentianmux/leased/config_transfer.py
@@ -7,9 +7,9 @@
 from loguru import logger
 
 from ..clock import Clock
-from ..messages import ConfigPiece, ConfigWanted
 from .config_feed import ConfigFeed
 from .links import Links
+from .messages import ConfigPiece, ConfigWanted
 
 PIECE_BYTES = 4096
 """Size of one piece: small enough not to delay the echoes on a slow link by much."""
--- a/src/gentianmux/leased/endpoint_states.py
+++ b/src/gentianmux/leased/endpoint_states.py
@@ -1,7 +1,7 @@
 """Sends entries the state of an agent's endpoint."""
 
-from ..messages import EndpointState
 from .agent_context import AgentContext
+from .messages import EndpointState
 from .resources import NO_RESOURCES
 
 
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -6,21 +6,7 @@
 from loguru import logger
 
 from ..clock import Clock, run_periodically
-from ..messages import (
-    AgentLoad,
-    Cancelled,
-    CancelledSeen,
-    ConfigPiece,
-    ConfigWanted,
-    EndedRuns,
-    EndpointState,
-    Evacuated,
-    Hello,
-    Holding,
-    JobLocked,
-    LockJob,
-    Message,
-)
+from ..messages import Hello, Message
 from ..metrics import Metrics
 from .admission_controller import AdmissionController
 from .config_feed import ConfigFeed
@@ -36,6 +22,19 @@
 from .job_locks import JobLocks
 from .job_state import JobOutcome, JobState
 from .links import Links
+from .messages import (
+    AgentLoad,
+    Cancelled,
+    CancelledSeen,
+    ConfigPiece,
+    ConfigWanted,
+    EndedRuns,
+    EndpointState,
+    Evacuated,
+    Holding,
+    JobLocked,
+    LockJob,
+)
 from .model import JobSpec, QueueConfig, RunOutcome
 from .placer import Placer
 from .resources import NO_RESOURCES
--- a/src/gentianmux/leased/entry_context.py
+++ b/src/gentianmux/leased/entry_context.py
@@ -6,7 +6,6 @@
 from loguru import logger
 
 from ..clock import Clock
-from ..messages import Claim, LoadEcho, RunRef, Withdraw
 from ..metrics import Metrics
 from .agent_view import AgentView
 from .backlog import Backlog
@@ -16,6 +15,7 @@
 from .job_handle import JobHandle, JobResult
 from .job_state import JobOutcome, JobState
 from .links import Links
+from .messages import Claim, LoadEcho, RunRef, Withdraw
 from .send_window import SendWindow
 
 CLAIMS_TTL_S = 0.01
--- a/src/gentianmux/leased/entry_reporter.py
+++ b/src/gentianmux/leased/entry_reporter.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 from ..clock import Clock
-from ..messages import AgentLoad, Claim, EndedRun, EndedRuns
 from .entry_leases import IDLE_REPORT_INTERVAL_S, REPORT_INTERVAL_S, EntryLeases
 from .grants import GRANT_TTL_S, Grants
 from .links import Links
+from .messages import AgentLoad, Claim, EndedRun, EndedRuns
 from .model import RunOutcome
 from .resources import NO_RESOURCES, Resources
 from .share_reports import ShareReports
--- a/src/gentianmux/leased/evacuation_broadcast.py
+++ b/src/gentianmux/leased/evacuation_broadcast.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from ..messages import Evacuated
 from .evacuations import EvacuationFeed, Evacuations
 from .links import Links
+from .messages import Evacuated
 
 
 class EvacuationBroadcast:
--- a/src/gentianmux/leased/fleet_speeds.py
+++ b/src/gentianmux/leased/fleet_speeds.py
@@ -8,7 +8,7 @@
 from math import exp, floor, log
 from typing import NamedTuple, Protocol
 
-from ..messages import EndpointState
+from .messages import EndpointState
 from .queue_levels import QueueLevels
 
 REFRESH_INTERVAL_S = 0.25
--- a/src/gentianmux/leased/grants.py
+++ b/src/gentianmux/leased/grants.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ..messages import Claim
+from .messages import Claim
 from .resources import NO_RESOURCES, Resources
 
 GRANT_TTL_S = 0.04
--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -7,11 +7,11 @@
 
 from loguru import logger
 
-from ..messages import JobLocked, LockJob
 from .entry_context import EntryContext
 from .entry_leases import leases_expire_at
 from .job_lock_table import JobLockTable
 from .job_state import JobState
+from .messages import JobLocked, LockJob
 from .model import instance_of
 from .rendezvous import rank_entries
 
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -4,7 +4,6 @@
 
 from loguru import logger
 
-from ..messages import Assign, LeasedTask
 from .admission_policy import AdmissionPolicy
 from .agent_view import AgentView
 from .candidates import Candidates
@@ -12,6 +11,7 @@
 from .entry_context import EntryContext
 from .fleet_speeds import speed_limit
 from .job_state import TASK_OVERHEAD_BYTES, JobState, TaskState
+from .messages import Assign, LeasedTask
 from .model import RunOutcome
 from .placement_request import PlacementRequest
 from .resources import NO_RESOURCES, Resources
--- a/src/gentianmux/leased/run_completions.py
+++ b/src/gentianmux/leased/run_completions.py
@@ -2,10 +2,10 @@
 
 from loguru import logger
 
-from ..messages import Holding, RunRef, Withdraw
 from .entry_context import EntryContext
 from .job_handle import JobResult
 from .job_state import JobOutcome
+from .messages import Holding, RunRef, Withdraw
 from .model import RunOutcome, is_earlier_process
 
 REFUSAL_BACKOFF_S = 0.05
--- a/src/gentianmux/leased/run_starter.py
+++ b/src/gentianmux/leased/run_starter.py
@@ -2,8 +2,8 @@
 
 from loguru import logger
 
-from ..messages import LeasedTask
 from .agent_context import AgentContext, job_id_of
+from .messages import LeasedTask
 from .model import RunOutcome, StartResult
 from .resources import Resources
 from .run_state import RunKey
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -14,10 +14,10 @@
 from gentianmux.leased.candidates import Candidates
 from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.job_state import JobState, Timeliness
+from gentianmux.leased.messages import AgentLoad, EndpointState
 from gentianmux.leased.model import JobSpec, QueueConfig, RunOutcome, StepSpec
 from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import AgentLoad, EndpointState
 
 QUEUE = QueueConfig("q", "h", "/q/", "s", 5000, 60, 0, 3, 1.6)
 
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -7,9 +7,9 @@
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.grants import LATE_HEADROOM_RATIO, Grants
 from gentianmux.leased.job_state import JobOutcome
+from gentianmux.leased.messages import Claim
 from gentianmux.leased.model import EndpointReport
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import Claim
 
 SHRUNK = Resources(3200, 65536, 0)
 """Room for two of the tasks that the world hands in."""
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -10,6 +10,7 @@
 from gentianmux.codes import ResultCode
 from gentianmux.errors import FrameError
 from gentianmux.frames import DIGEST_BYTES, pack_frame, split_frames
+from gentianmux.leased import messages as leased
 
 SAMPLES = [
     m.Hello(1, "w1.5", "agent", "127.0.0.1:1"),
@@ -24,25 +25,25 @@
     m.LedgerHandover(
         1, 2, 6, "w1.5", 3, -1, False, True, [m.LedgerEntry("m/a", b"d", 1, 0, b"x")], [1 << 63]
     ),
-    m.Assign(
+    leased.Assign(
         7,
         8,
-        [m.LeasedTask("a.0.0.1", 2, 1, 1600, 64, 0, 120)],
-        [m.Claim(3200, 128, 0, 1600, False, True, 2, -40)],
+        [leased.LeasedTask("a.0.0.1", 2, 1, 1600, 64, 0, 120)],
+        [leased.Claim(3200, 128, 0, 1600, False, True, 2, -40)],
         [b"", "päyload".encode()],
     ),
-    m.Withdraw([m.RunRef("a.0.0.1", 2)]),
-    m.EndedRuns([m.EndedRun(1, "a.0.0.1", 2, 10, 130)]),
-    m.Holding(8, [m.RunRef("a.0.0.1", 2)]),
-    m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
-    m.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500, 250),
-    m.LoadEcho(9, 3, True, [m.Claim(3200, 128, 1, 1600, True, False, 0, 120)], 7),
-    m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
-    m.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a"], True, born=1_790_000_000_000),
-    m.ConfigWanted(3, 4096),
-    m.ConfigPiece(3, 4096, 4100, b"last"),
-    m.Cancelled(7, ["5c0e7a21d94b36f8", "91d2f04be87c35a6"]),
-    m.CancelledSeen(7),
+    leased.Withdraw([leased.RunRef("a.0.0.1", 2)]),
+    leased.EndedRuns([leased.EndedRun(1, "a.0.0.1", 2, 10, 130)]),
+    leased.Holding(8, [leased.RunRef("a.0.0.1", 2)]),
+    leased.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500),
+    leased.AgentLoad(9, 8, 16000, 64, 0, 110, 3, 2, 500, 250),
+    leased.LoadEcho(9, 3, True, [leased.Claim(3200, 128, 1, 1600, True, False, 0, 120)], 7),
+    leased.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a", "r1"], True),
+    leased.EndpointState("i-1", "s", "fd1", 16000, 64, 0, ["a"], True, born=1_790_000_000_000),
+    leased.ConfigWanted(3, 4096),
+    leased.ConfigPiece(3, 4096, 4100, b"last"),
+    leased.Cancelled(7, ["5c0e7a21d94b36f8", "91d2f04be87c35a6"]),
+    leased.CancelledSeen(7),
     m.Gossip(
         0, 1, "a", "b", -1, 7, [m.MemberUpdate("a", "a", "entry", "x", "y", "f", ["s"], 8, 0, 1)]
     ),
--- a/tests/test_demand_shares.py
+++ b/tests/test_demand_shares.py
@@ -23,13 +23,13 @@
 from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.grants import Grants
 from gentianmux.leased.job_state import JobState
+from gentianmux.leased.messages import AgentLoad, Assign, Claim, EndpointState, LeasedTask
 from gentianmux.leased.model import JobSpec, StepSpec
 from gentianmux.leased.offered_capacity import OfferedCapacity, keep_fitting
 from gentianmux.leased.payloads import encode_payload
 from gentianmux.leased.rendezvous import ENTRIES_PER_AGENT, rank_entries
 from gentianmux.leased.resources import Resources
 from gentianmux.leased.share_reports import ShareReports
-from gentianmux.messages import AgentLoad, Assign, Claim, EndpointState, LeasedTask
 
 CAPACITY_CPU = 16000
 ENTRIES = [f"e{number}.1" for number in range(5)]
--- a/tests/test_endpoint_restarts.py
+++ b/tests/test_endpoint_restarts.py
@@ -23,6 +23,7 @@
 from gentianmux.leased.directory import Announcement, decode_announcement
 from gentianmux.leased.heartbeat_kind import HeartbeatKind, classify_heartbeat
 from gentianmux.leased.job_state import JobOutcome
+from gentianmux.leased.messages import Assign, LeasedTask
 from gentianmux.leased.model import (
     ActiveRun,
     EndpointReport,
@@ -38,7 +39,6 @@
 from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.resources import Resources
 from gentianmux.leased.run_table import RunTable
-from gentianmux.messages import Assign, LeasedTask
 from gentianmux.platform.endpoint import PlatformEndpoint, decode_heartbeat, decode_shutdown_notice
 from gentianmux.platform.http_client import HttpReply
 from standins.platform_endpoint import PlatformEndpointApp
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,8 +6,8 @@
 from gentianmux.leased.evacuations import EvacuationFeed, Evacuations
 from gentianmux.leased.fallback_reader import CHECK_INTERVAL_S
 from gentianmux.leased.job_state import JobOutcome
+from gentianmux.leased.messages import EndedRuns, Evacuated
 from gentianmux.leased.model import RunOutcome
-from gentianmux.messages import EndedRuns, Evacuated
 from gentianmux.metrics import Metrics
 from gentianmux.settings import Settings
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -20,9 +20,9 @@
     split_by_task,
 )
 from gentianmux.leased.job_state import JobState, Timeliness
+from gentianmux.leased.messages import Claim
 from gentianmux.leased.model import JobSpec, QueueConfig, StepSpec
 from gentianmux.leased.resources import NO_RESOURCES, Resources
-from gentianmux.messages import Claim
 
 ENTRIES = ["e1", "e2", "e3"]
 FREE = Resources(4000, 1000, 0)
--- a/tests/test_late_assignments.py
+++ b/tests/test_late_assignments.py
@@ -11,7 +11,8 @@
 
 from bench.leased_world import Asked, World
 from gentianmux.leased.job_state import JobOutcome
-from gentianmux.messages import Assign, Message
+from gentianmux.leased.messages import Assign
+from gentianmux.messages import Message
 
 
 def delayed_assignment(world: World, tasks: int) -> tuple[Asked, Callable[[], None]]:
--- a/tests/test_leased_links.py
+++ b/tests/test_leased_links.py
@@ -11,9 +11,10 @@
 
 from gentianmux.clock import Clock
 from gentianmux.leased.links import RECONNECT_AFTER_S, Links
+from gentianmux.leased.messages import LoadEcho
 from gentianmux.leased.model import NoAnswer
 from gentianmux.leased.settings import LeasedSettings
-from gentianmux.messages import PROTOCOL_VERSION, Hello, LoadEcho, Message
+from gentianmux.messages import PROTOCOL_VERSION, Hello, Message
 from gentianmux.metrics import Metrics
 from gentianmux.platform.http_client import STALE_AFTER_FAILURES, HttpClient
 from gentianmux.settings import Settings
--- a/tests/test_leased_units.py
+++ b/tests/test_leased_units.py
@@ -23,12 +23,12 @@
 from gentianmux.leased.entry_leases import ENTRY_LEASE_S, EntryLeases, leases_expire_at
 from gentianmux.leased.fleet_view import MAX_AGENTS_PER_ROUND, FleetView
 from gentianmux.leased.job_state import JobState, Phase, Timeliness
+from gentianmux.leased.messages import AgentLoad, EndpointState
 from gentianmux.leased.model import JobSpec, QueueConfig, RunOutcome, StepSpec
 from gentianmux.leased.placement_request import PlacementRequest
 from gentianmux.leased.progress import STALL_TIMEOUT_S, RunProgress
 from gentianmux.leased.resources import ResourcePool, Resources
 from gentianmux.leased.settings import LeasedSettings, lease_s
-from gentianmux.messages import AgentLoad, EndpointState
 
 QUEUE = QueueConfig("q", "h", "/q/", "s", 5000, 60, 0, 3, 1.6)
 
--- a/tests/test_leased_world.py
+++ b/tests/test_leased_world.py
@@ -7,10 +7,11 @@
 
 from bench.leased_world import ENDPOINT_ROOM, QUEUE, Asked, World
 from gentianmux.leased.job_state import JobOutcome
+from gentianmux.leased.messages import Assign, EndedRuns, LeasedTask, RunRef, Withdraw
 from gentianmux.leased.model import EndpointReport, EndRecord, HoldReply, RunOutcome
 from gentianmux.leased.payloads import encode_payload
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import Assign, EndedRuns, LeasedTask, Message, RunRef, Withdraw
+from gentianmux.messages import Message
 
 
 def ready_world(agents: int = 3, entries: int = 1, seed: int = 1) -> World:
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -14,9 +14,9 @@
 from gentianmux.leased.agent import Agent
 from gentianmux.leased.entry_leases import leases_expire_at
 from gentianmux.leased.job_state import JobOutcome
+from gentianmux.leased.messages import Assign, LeasedTask, RunRef, Withdraw
 from gentianmux.leased.payloads import encode_payload
 from gentianmux.leased.resources import Resources
-from gentianmux.messages import Assign, LeasedTask, RunRef, Withdraw
 from gentianmux.platform import endpoint as endpoint_module
 from gentianmux.platform.endpoint import PlatformEndpoint
 
--- a/tests/test_task_colocation.py
+++ b/tests/test_task_colocation.py
@@ -11,7 +11,8 @@
 from bench.leased_world import World
 from gentianmux.leased import placer
 from gentianmux.leased.job_state import JobOutcome
-from gentianmux.messages import Assign, Message
+from gentianmux.leased.messages import Assign
+from gentianmux.messages import Message
 
 SEEDS = (1, 2, 3)
 STEPS, STEP_S = 80, 0.05
