A job that is denied late blocks its id until its runs have ended

Cause, by reading: an unconfirmed job that its owner denied later had given up its lock before it ended, so a repeat at the same entry did not wait for its runs to end.

Change: the end of a job with runs always blocks its id at its entry for as long as their leases last.

Measured: test_late_denial_ends_an_unconfirmed_job_and_its_runs fails on the code before (the ids that another entry owns) and passes.

--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -115,8 +115,6 @@
     def on_finished(self, job: JobState, had_runs: bool) -> None:
         """Release the lock of a job that has ended, once none of its runs can be active."""
         job_id = job.spec.job_id
-        if job_id not in self._owners:
-            return
         if not had_runs:
             self._release(job_id)
             return
--- a/tests/test_job_locks.py
+++ b/tests/test_job_locks.py
@@ -154,6 +154,23 @@
     assert outcome(first) is JobOutcome.COMPLETED
 
 
+@pytest.mark.parametrize("job_id", JOB_IDS)
+def test_late_denial_ends_an_unconfirmed_job_and_its_runs(job_id: str) -> None:
+    """Guards against a repeat that starts beside runs of a job that was denied late."""
+    world = ready_world(agents=4, entries=2)
+    holder = submit(world, "e1", job_id, run_s=4.0)
+    world.run(0.2)
+    world.freeze(world.process_of("e1"), 0.3)
+    late = submit(world, "e0", job_id, run_s=4.0)
+    world.run(0.4)
+    repeat = submit(world, "e0", job_id, run_s=4.0)
+    world.run(0.1)
+    assert outcome(late) is outcome(repeat) is JobOutcome.UNKNOWN
+    assert outcome(holder) is None
+    if late.handle.job.began:
+        assert job_id in entry_of(world, "e0")._locks._ending_until
+
+
 def test_lock_expires() -> None:
     """Guards against locks that are kept for good if their holder never releases them."""
     table = JobLockTable()
