A test's feed has a clock

test_feed_ignores_a_malformed_configuration built its feed with None in place of a clock. Since an agent may read the store, a feed notes when it last did, and needs one. The test asks for the same as before.

--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -9,6 +9,7 @@
 from test_leased_world import assert_invariants_hold, outcome, ready_world
 from test_platform_adapter import REPORT as HEARTBEAT
 
+from gentianmux.clock import Clock
 from gentianmux.codes import ResultCode
 from gentianmux.errors import GentianmuxError, LogError
 from gentianmux.leased.config_feed import ConfigFeed
@@ -178,7 +179,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     store = _Store((CONFIG_SOURCE.key, DEEPLY_NESTED))
-    feed = ConfigFeed(CONFIG_SOURCE, store, Metrics(Settings(name="e1")), None)  # type: ignore
+    feed = ConfigFeed(CONFIG_SOURCE, store, Metrics(Settings(name="e1")), Clock())
     feed.follow_once()
     assert feed.version == -1
 
