The load of test_cost_of_a_job_hardly_grows has links with an identity

Cause: entries ask their connections for the own identity since they lock job ids; the stand-in of bench/leased_speed.py had none.

--- a/bench/leased_speed.py
+++ b/bench/leased_speed.py
@@ -80,6 +80,7 @@
     """Encodes what is sent, and keeps the runs that were assigned."""
 
     def __init__(self, names: list[str]) -> None:
+        self.me = Hello(PROTOCOL_VERSION, "e0.1", "entry", "")
         self.names = names
         self.frames = self.bytes = 0
         self.assigned: dict[str, deque[tuple[str, int]]] = {name: deque() for name in names}
