Logs tell who confirmed a job, and when its entry stood still

Cause: the logs of the incident did not tell through which entries the requests came, who had confirmed their locks, or for how long an entry had stood still.

Change: 'runs placed' names the entries that confirmed the job; 'job runs unconfirmed', 'job runs as no other entry is connected' and 'process was paused' are new. No decision changes.

--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -36,6 +36,7 @@
     LockJob,
 )
 from .model import JobSpec, QueueConfig, RunOutcome
+from .pauses import PauseDetector
 from .placer import Placer
 from .resources import NO_RESOURCES
 from .run_completions import RunCompletions
@@ -102,6 +103,7 @@
         self._placer = Placer(self._ctx, self._completions, self._admission_controller.policies)
         self.shutdown = EntryShutdown(self._ctx)
         self._suspensions = clock.suspensions()
+        self._pauses = PauseDetector(clock.now())
         links.on_open = self._on_open
         links.on_close = self._on_close
         links.on_message = self.on_message
@@ -320,6 +322,8 @@
 
     def _check_suspension(self) -> None:
         """After a resume, start over with connections and with the wait for an agent."""
+        if self._pauses.check(self._ctx.clock.now()):
+            self._ctx.metrics.count("pauses")
         suspensions = self._ctx.clock.suspensions()
         if suspensions != self._suspensions:
             self._suspensions = suspensions
--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -37,6 +37,8 @@
 
     Attributes
     ----------
+    job : JobState
+        The job whose id is to be locked.
     owner : str
         Process of that entry.
     sent_at : float
@@ -45,6 +47,7 @@
         Called with whether the job may run.
     """
 
+    job: JobState
     owner: str
     sent_at: float
     resolve: Callable[[bool], None]
@@ -102,16 +105,28 @@
         owner = self._owner_of(job_id)
         self._owners[job_id] = owner
         if owner == self._me:
+            job.confirmed_by = [self._me]
+            self._log_if_alone(job)
             resolve(self.table.acquire(job_id, self._me, self._expires_at(job), now))
             return
         self._number += 1
         is_suspect = now < self._suspect_until.get(owner, 0.0)
         waiting = self._unconfirmed if is_suspect else self._pending
-        waiting[self._number] = PendingLock(owner, now, resolve)
+        waiting[self._number] = PendingLock(job, owner, now, resolve)
         self._request(self._number, owner, job)
         if is_suspect:
+            self._log_unconfirmed(job, owner)
             resolve(True)
 
+    def _log_if_alone(self, job: JobState) -> None:
+        if len(self._entries) == 1:
+            logger.bind(job=job.spec.job_id).info("job runs as no other entry is connected")
+
+    def _log_unconfirmed(self, job: JobState, owner: str) -> None:
+        logger.bind(job=job.spec.job_id, peer=owner, connected=len(self._entries) - 1).info(
+            "job runs unconfirmed"
+        )
+
     def on_finished(self, job: JobState, had_runs: bool) -> None:
         """Release the lock of a job that has ended, once none of its runs can be active."""
         job_id = job.spec.job_id
@@ -182,6 +197,7 @@
     def _run_unconfirmed(self, number: int) -> None:
         self._ctx.metrics.count("job_locks", label="unconfirmed")
         pending = self._unconfirmed[number] = self._pending.pop(number)
+        self._log_unconfirmed(pending.job, pending.owner)
         pending.resolve(True)
 
     # Other entries
@@ -250,6 +266,7 @@
         self._suspect_until.pop(process, None)
         pending = self._pending.pop(msg.number, None)
         if pending is not None:
+            pending.job.confirmed_by = [process]
             pending.resolve(msg.granted)
             return
         unconfirmed = self._unconfirmed.pop(msg.number, None)
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -128,6 +128,8 @@
         Whether a task has failed too often.
     takes_any : bool
         Whether it no longer waits for an endpoint that is fast enough, as it would be refused.
+    confirmed_by : list of str
+        Processes of the entries that have confirmed that it may run; for the log.
 
     Examples
     --------
@@ -154,6 +156,7 @@
         self.may_have_run = False
         self.failed = False
         self.takes_any = False
+        self.confirmed_by: list[str] = []
         self.tasks: dict[str, TaskState] = {}
         for number, step in enumerate(spec.steps):
             for index in range(step.tasks):
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -153,6 +153,7 @@
                 waited_ms=round((now - job.arrived_at) * 1000, 1),
                 config_version=self._ctx.feed.version,
                 speed_limit=self._last_limit,
+                confirmed_by=job.confirmed_by,
             ).info("runs placed")
         if placed:
             self._ctx.backlog.discard(job)
--- a/src/gentianmux/metrics.py
+++ b/src/gentianmux/metrics.py
@@ -56,6 +56,7 @@
     "jobs_ended": Metric("counter", "jobs", "Leased jobs that ended, by outcome."),
     "job_seconds": Metric("histogram", "s", "Time from a leased job's arrival to its end."),
     "cancels": Metric("counter", "cancels", "Cancels of callers, by whether they were accepted."),
+    "pauses": Metric("counter", "pauses", "Times that the process stood still for 0.25 s or more."),
     "job_locks": Metric(
         "counter", "requests", "Requests for locks of job ids, by what became of them."
     ),
