--- a/bench/leased_speed.py
+++ b/bench/leased_speed.py
@@ -10,6 +10,7 @@
 import argparse
 import json
 from collections import deque
+from math import inf
 from random import Random
 from statistics import median
 from time import process_time
@@ -23,6 +24,7 @@
 from gentianmux.events import _JsonSink
 from gentianmux.leased.config_feed import ConfigFeed, ConfigSource
 from gentianmux.leased.entry import Entry
+from gentianmux.leased.entry_view import EntryView
 from gentianmux.leased.fleet_view import FleetView
 from gentianmux.leased.messages import AgentLoad, Assign, EndedRun, EndedRuns, EndpointState
 from gentianmux.leased.model import (
@@ -115,6 +117,10 @@
         feed.current = config
         args = (self.view, self.links, feed, Metrics(Settings()), self.clock)
         self.entry = Entry(*args)  # type: ignore[arg-type]
+        self.entry.locks.replica.vote_at_once()
+        self.entry.views.announced.add("e0")
+        self.entry.views.on_store_read(inf)
+        self.entry.views.apply_if_newer(EntryView(1, ("e0",), ("e0",)), "store")
         self.reports = dict.fromkeys(names, 0)
         self.ends = self.jobs = 0
         for number, name in enumerate(names):
--- a/src/gentianmux/leased/agent.py
+++ b/src/gentianmux/leased/agent.py
@@ -39,6 +39,8 @@
 from .run_stopper import RunStopper
 from .run_table import RunTable
 from .settings import LeasedSettings
+from .view_broadcast import ViewBroadcast
+from .view_keeper import ViewKeeper
 
 MAINTENANCE_INTERVAL_S = REPORT_INTERVAL_S / 2
 """Interval between checks of entry leases and of due load reports while runs are active."""
@@ -94,6 +96,7 @@
         self._evacuation_broadcast = EvacuationBroadcast(
             feed.evacuations, links, self._on_evacuations
         )
+        self._view_broadcast = ViewBroadcast(ViewKeeper(clock), links)
         self.on_report_change: Callable[[EndpointReport | None], None] = lambda report: None
         self._stopper = RunStopper(ctx)
         ctx.cancel_broadcast = CancelBroadcast(links, metrics, clock, self._on_cancelled)
@@ -125,6 +128,7 @@
             self._stopper,
             self._config_transfer,
             self._evacuation_broadcast,
+            self._view_broadcast,
         ).handle
         self.fallback_reader = FallbackReader(ctx, Random(cfg.name))
         self._leases = ctx.reporter.leases
@@ -289,6 +293,7 @@
         held = [RunRef(*run.key) for run in self._ctx.table.of_entry(entry)]
         held += [RunRef(*key) for key in sorted(self._starter.replacing)]
         self._evacuation_broadcast.send_to(entry)
+        self._view_broadcast.send_to(entry)
         self._ctx.cancel_broadcast.send_all(entry)
         self._states.send_to(entry)
         self._ctx.links.send(entry, Holding(self._ctx.reporter.applied.get(entry, 0), held))
--- a/src/gentianmux/leased/agent_messages.py
+++ b/src/gentianmux/leased/agent_messages.py
@@ -8,11 +8,21 @@
 from .agent_context import AgentContext
 from .config_transfer import ConfigTransfer
 from .evacuation_broadcast import EvacuationBroadcast
-from .messages import Assign, Cancelled, ConfigPiece, ConfigWanted, Evacuated, LoadEcho, Withdraw
+from .messages import (
+    Assign,
+    Cancelled,
+    ConfigPiece,
+    ConfigWanted,
+    EntriesKnown,
+    Evacuated,
+    LoadEcho,
+    Withdraw,
+)
 from .model import RunOutcome
 from .payloads import decode_payload
 from .run_starter import RunStarter
 from .run_stopper import RunStopper
+from .view_broadcast import ViewBroadcast
 
 
 class AgentMessages:
@@ -30,6 +40,8 @@
         Passes the configuration on.
     evacuation_broadcast : EvacuationBroadcast
         Passes evacuations on.
+    view_broadcast : ViewBroadcast
+        Passes the view of the entries on.
 
     Examples
     --------
@@ -43,12 +55,14 @@
         stopper: RunStopper,
         config_transfer: ConfigTransfer,
         evacuation_broadcast: EvacuationBroadcast,
+        view_broadcast: ViewBroadcast,
     ) -> None:
         self._ctx = ctx
         self._starter = starter
         self._stopper = stopper
         self._config_transfer = config_transfer
         self._evacuation_broadcast = evacuation_broadcast
+        self._view_broadcast = view_broadcast
 
     @singledispatchmethod
     def handle(self, msg: Message, entry: str) -> None:
@@ -122,3 +136,7 @@
     @handle.register
     def _(self, msg: ConfigPiece, entry: str) -> None:
         self._config_transfer.take(msg, entry)
+
+    @handle.register
+    def _(self, msg: EntriesKnown, entry: str) -> None:
+        self._view_broadcast.take(msg, entry)
--- a/src/gentianmux/leased/connectors.py
+++ b/src/gentianmux/leased/connectors.py
@@ -110,6 +110,11 @@
     links : Links
         Connections of the entry.
 
+    Attributes
+    ----------
+    entries : set of str
+        Names of all entries that have announced themselves.
+
     Examples
     --------
     ``AgentConnector("e1", links).update(Announcement("w1", "agent", "10.0.0.1:7720"))`` dials the
@@ -119,7 +124,7 @@
     def __init__(self, me: str, links: Links) -> None:
         self._me = me
         self._links = links
-        self._entries = {me}
+        self.entries = {me}
         self._dialed: dict[str, str] = {}
         self._agents: dict[str, str] = {}
 
@@ -130,12 +135,17 @@
             return self._reconcile(found.name)
         if self._me < found.name:
             self._dial_entry(found)
-        if found.name not in self._entries:
-            self._entries.add(found.name)
+        if found.name not in self.entries:
+            self.entries.add(found.name)
             for name in self._agents:
                 self._reconcile(name)
         return False
 
+    def dial_unknown(self, name: str, address: str) -> None:
+        """Dial an entry that peers have told of, unless its announcement is known."""
+        if name not in self.entries:
+            self.update(Announcement(name, "entry", address))
+
     def _dial_entry(self, found: Announcement) -> None:
         if self._dialed.get(found.name, found.address) != found.address:
             self._links.stop_dialing(self._dialed[found.name])
@@ -143,7 +153,7 @@
         self._links.dial(found.address)
 
     def _reconcile(self, agent: str) -> bool:
-        preferred = is_preferred(agent, self._entries, self._me)
+        preferred = is_preferred(agent, self.entries, self._me)
         if preferred:
             self._links.dial(self._agents[agent], DIAL_DELAY_S)
         else:
--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -8,7 +8,7 @@
 import gevent
 from loguru import logger
 
-from ..clock import run_periodically
+from ..clock import boot_time, run_periodically
 from ..errors import LogError
 from ..metrics import Metrics
 from ..platform_log import KeyedLog
@@ -22,12 +22,16 @@
     read_object,
 )
 from .config_feed import LONG_POLL_S, RETRY_DELAY_S
+from .entry_view import EntryView, decode_view
 from .model import EndpointReport
 from .resources import Resources
 
 TOPIC = "gentianmux-members"
 """Topic of the announcements, with one key for each instance."""
 
+VIEW_KEY = "@entries"
+"""Key of the view of the entries in the same topic; no instance has this name."""
+
 ROLES = ("entry", "agent")
 """Valid roles of an announcement."""
 
@@ -120,6 +124,10 @@
     ----------
     on_found : callable
         Called by ``follow`` with each announcement.
+    on_view : callable
+        Called by ``follow`` with each view of the entries.
+    on_read : callable
+        Called by ``follow`` after a read, with the monotonic time at which it was asked for.
 
     Examples
     --------
@@ -128,12 +136,21 @@
 
     def __init__(self, store: KeyedLog, metrics: Metrics) -> None:
         self.on_found: Callable[[Announcement], None] = lambda found: None
+        self.on_view: Callable[[EntryView], None] = lambda view: None
+        self.on_read: Callable[[float], None] = lambda asked_at: None
         self._store = store
         self._metrics = metrics
         self._pending: Announcement | None = None
         self._written: Announcement | None = None
         self._writing = False
         self._offset: int | None = None
+        self._end = 0
+        self._has_read = False
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the announcements have been read."""
+        return self._has_read
 
     def announce(self, announcement: Announcement) -> None:
         """Write an announcement in the background, retrying until the store confirms it."""
@@ -174,6 +191,7 @@
     def follow_once(self) -> None:
         """Pass on the announcements since the last call, waiting up to ``LONG_POLL_S`` for one."""
         offset, self._offset = self._offset, None
+        asked_at = boot_time()
         try:
             if offset is None:
                 newest = self._store.newest(TOPIC)
@@ -185,13 +203,30 @@
             self._metrics.count("store_errors", label=exc.code.label)
             gevent.sleep(RETRY_DELAY_S)
             return
-        self._offset = offset
+        self._offset = self._end = offset
+        self._has_read = True
         for each in _decode_all(found):
             self.on_found(each)
+        for view in _decode_views(found):
+            self.on_view(view)
+        self.on_read(asked_at)
+
+    def write_view(self, view: EntryView) -> bool:
+        """Write a view of the entries unless something unknown here has been written before."""
+        try:
+            return self._store.put_at(TOPIC, VIEW_KEY, view.encode(), self._end)
+        except LogError as exc:
+            self._metrics.count("store_errors", label=exc.code.label)
+            return False
+
+
+def _decode_views(found: Iterable[tuple[str, bytes]]) -> Iterator[EntryView]:
+    views = (decode_view(value) for name, value in found if name == VIEW_KEY and value)
+    return (view for view in views if view is not None)
 
 
 def _decode_all(found: Iterable[tuple[str, bytes]]) -> Iterator[Announcement]:
     for name, value in found:
-        announcement = decode_announcement(name, value) if value else None
+        announcement = decode_announcement(name, value) if value and name != VIEW_KEY else None
         if announcement is not None:
             yield announcement
--- a/src/gentianmux/leased/entry.py
+++ b/src/gentianmux/leased/entry.py
@@ -1,6 +1,6 @@
 """The entry: coordinates the jobs of its callers over all connected agents."""
 
-from functools import partial, singledispatchmethod
+from functools import singledispatchmethod
 
 import gevent
 from loguru import logger
@@ -30,16 +30,20 @@
     ConfigWanted,
     EndedRuns,
     EndpointState,
+    EntriesKnown,
     Evacuated,
     Holding,
-    JobLocked,
-    LockJob,
+    JobsLocked,
+    LockJobs,
+    LocksHeld,
 )
 from .model import JobSpec, QueueConfig, RunOutcome
 from .pauses import PauseDetector
 from .placer import Placer
 from .resources import NO_RESOURCES
 from .run_completions import RunCompletions
+from .view_broadcast import ViewBroadcast
+from .view_keeper import ViewKeeper
 
 TICK_S = 0.01
 """Seconds between checks of deadlines and decisions; short jobs are decided within a few of
@@ -70,11 +74,19 @@
         Time and deferred calls.
     link_bytes_s : float
         Configured bandwidth of the instance's link in bytes per second; 0 when not configured.
+    started_at : float, optional
+        Monotonic time of the start of the process, in seconds; now by default.
 
     Attributes
     ----------
     shutdown : EntryShutdown
         Drains the entry when its process has to stop.
+    views : ViewKeeper
+        The view of the entries that confirm jobs.
+    view_broadcast : ViewBroadcast
+        Exchanges it with peers.
+    locks : JobLocks
+        Confirms jobs.
 
     Examples
     --------
@@ -89,6 +101,7 @@
         metrics: Metrics,
         clock: Clock,
         link_bytes_s: float = 0.0,
+        started_at: float | None = None,
     ) -> None:
         self._ctx = EntryContext(view, links, feed, metrics, clock, link_bytes_s)
         self._config_transfer = ConfigTransfer(feed, links, clock)
@@ -97,8 +110,14 @@
         )
         self._completions = RunCompletions(self._ctx)
         self.canceller = JobCanceller(self._ctx)
-        self._locks = JobLocks(self._ctx)
-        self._ctx.on_finished = self._locks.on_finished
+        self.views = ViewKeeper(clock)
+        self.view_broadcast = ViewBroadcast(self.views, links)
+        self.locks = JobLocks(
+            self._ctx, self.views, self._place, clock.now() if started_at is None else started_at
+        )
+        self.views.listeners.append(self.locks.on_view)
+        self._ctx.on_finished = self.locks.on_finished
+        self._ctx.refresh_locks = self.locks.refresh
         self._admission_controller = AdmissionController(self._ctx)
         self._placer = Placer(self._ctx, self._completions, self._admission_controller.policies)
         self.shutdown = EntryShutdown(self._ctx)
@@ -117,7 +136,8 @@
     def is_ready(self) -> bool:
         """Whether callers should be routed here."""
         reachable = self._ctx.view.is_reachable(self._ctx.clock.now())
-        return not self.shutdown.has_begun and self._ctx.feed.current is not None and reachable
+        has_config = self._ctx.feed.current is not None
+        return not self.shutdown.has_begun and has_config and reachable and self.locks.can_confirm()
 
     # Jobs
 
@@ -146,21 +166,11 @@
         handle = JobHandle(job)
         self._ctx.jobs[spec.job_id] = handle
         self._ctx.metrics.count("jobs_admitted")
-        self._locks.acquire(job, partial(self._on_lock, handle))
+        self._admission_controller.policies[queue.service].record_arrival(job, now)
+        self.locks.acquire(handle)
         return handle
 
-    def _on_lock(self, handle: JobHandle, granted: bool) -> None:
-        """Place a job whose id is locked here; end one whose id another entry has locked."""
-        job = handle.job
-        if self._ctx.jobs.get(job.spec.job_id) is not handle:
-            return
-        if not granted:
-            self._locks.deny(job.spec.job_id)
-            self._ctx.finish(job, JobResult(JobOutcome.UNKNOWN, "another entry runs this job"))
-            return
-        self._ctx.backlog.put(job)
-        service = job.queue.service
-        self._admission_controller.policies[service].record_arrival(job, self._ctx.clock.now())
+    def _place(self) -> None:
         self._placer.place()
 
     def now(self) -> float:
@@ -246,12 +256,20 @@
         self.canceller.broadcast.take(msg, agent)
 
     @on_message.register
-    def _(self, msg: LockJob, entry: str) -> None:
-        self._locks.on_request(msg, entry)
+    def _(self, msg: LockJobs, entry: str) -> None:
+        self.locks.on_request(msg, entry)
+
+    @on_message.register
+    def _(self, msg: JobsLocked, entry: str) -> None:
+        self.locks.on_answer(msg, entry)
+
+    @on_message.register
+    def _(self, msg: LocksHeld, entry: str) -> None:
+        self.locks.on_held(msg, entry)
 
     @on_message.register
-    def _(self, msg: JobLocked, entry: str) -> None:
-        self._locks.on_reply(msg, entry)
+    def _(self, msg: EntriesKnown, peer: str) -> None:
+        self.view_broadcast.take(msg, peer)
 
     @on_message.register
     def _(self, msg: CancelledSeen, agent: str) -> None:
@@ -267,8 +285,9 @@
         # Before any assignment: the agent may have just started.
         self._evacuation_broadcast.send_to(hello.process)
         self.canceller.broadcast.send_all(hello.process)
+        self.view_broadcast.send_to(hello.process)
         if hello.role == self._ctx.links.me.role:
-            self._locks.on_open(hello.process)
+            self.locks.on_open(hello.process)
             return
         self._completions.opened_at[hello.process] = self._ctx.clock.now()
         self._ctx.window.forget(hello.process)
@@ -278,8 +297,8 @@
 
     def _on_close(self, agent: str) -> None:
         """Keep the agent's runs until their leases have expired, since it may connect again."""
-        if self._locks.knows(agent):
-            self._locks.on_close(agent)
+        if self.locks.peers.knows(agent):
+            self.locks.on_close(agent)
             return
         view = self._ctx.view.agents.get(agent)
         if view is not None:
@@ -310,8 +329,8 @@
     def tick(self) -> None:
         """End jobs at their deadlines, decide waiting jobs, and place tasks."""
         self._check_suspension()
-        self._locks.check_timeouts()
         now = self._ctx.clock.now()
+        self.locks.tick(now)
         for handle in list(self._ctx.jobs.values()):
             if now >= handle.job.deadline:
                 self._ctx.give_up(handle.job, "deadline passed")
--- a/src/gentianmux/leased/entry_context.py
+++ b/src/gentianmux/leased/entry_context.py
@@ -56,6 +56,9 @@
         For each agent's process its assigned runs, by task and number, with their jobs.
     on_finished : callable
         Called with each job that has ended, and whether runs of it were withdrawn.
+    refresh_locks : callable
+        Called with the monotonic time before tasks are placed; takes back the confirmations of jobs
+        that no longer count.
 
     Examples
     --------
@@ -81,6 +84,7 @@
         self.window = SendWindow(link_bytes_s)
         self.assigned_runs: defaultdict[str, dict[tuple[str, int], JobState]] = defaultdict(dict)
         self.on_finished: Callable[[JobState, bool], None] = lambda job, had_runs: None
+        self.refresh_locks: Callable[[float], None] = lambda now: None
         self._claims: dict[str, list[Claim]] = {}
         self._claims_until = 0.0
         self._claims_version = 0
--- a/src/gentianmux/leased/job_lock_table.py
+++ b/src/gentianmux/leased/job_lock_table.py
@@ -45,6 +45,11 @@
         self._locks[job_id] = JobLock(holder, until)
         return True
 
+    def holder_of(self, job_id: str) -> str:
+        """Process that holds a lock, expired or not; empty if there is none."""
+        lock = self._locks.get(job_id)
+        return "" if lock is None else lock.holder
+
     def release(self, job_id: str, holder: str) -> None:
         """Release a lock, if that entry holds it."""
         lock = self._locks.get(job_id)
--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -1,279 +1,433 @@
 """Makes sure that two entries never run jobs of the same id at a time."""
 
-from collections import defaultdict
-from collections.abc import Callable, Iterator
-from itertools import takewhile
-from typing import NamedTuple
+from collections.abc import Callable, Collection
+from math import inf
 
 from loguru import logger
 
 from .entry_context import EntryContext
-from .entry_leases import leases_expire_at
-from .job_lock_table import JobLockTable
-from .job_state import JobState
-from .messages import JobLocked, LockJob
+from .entry_peers import EntryPeers
+from .job_handle import JobHandle, JobResult
+from .job_lock import JobLock
+from .job_state import JobOutcome, JobState
+from .lock_replica import LockReplica
+from .lock_times import GRACE_S, lock_times
+from .messages import JobsLocked, LockJobs, LocksHeld
 from .model import instance_of
-from .rendezvous import rank_entries
+from .view_changes import VIEW_STALE_S
+from .view_keeper import ViewKeeper
+from .vote_start import Predecessor
 
-LOCK_TIMEOUT_S = 0.05
-"""Time allowed for the reply of a lock's owner: several round trips between failure domains."""
+CONFIRM_TIMEOUT_S = 0.75
+"""Time within which a new job has to be confirmed: entries that have all been restarted confirm
+jobs again sooner. Its caller is better served by another entry than by a longer wait."""
 
-SUSPECT_S = 1.0
-"""Time for which jobs do not wait for an owner that did not reply, unless a reply of it arrives."""
+ISOLATED_S = 0.75
+"""Time without enough other entries from which on jobs are refused at once."""
 
-UNCONFIRMED_S = 5.0
-"""Time for which a late reply of an owner still ends a job that runs without its confirmation."""
+PEER_CHECK_INTERVAL_S = 0.05
+"""Time between checks of the other entries, a fraction of the times that they are allowed."""
 
-RELEASE_INTERVAL_S = 1.0
-"""Longest time that the release of a lock waits for the next request to its owner. Callers resend a
-job after 1.3 s."""
+ISOLATED = "too few entries confirm jobs"
+"""Reason of a refusal."""
 
-NO_REPLY = 0
-"""Number of a request that is not answered."""
+DENIED = "another entry runs this job"
+"""Reason of the end of a job that may not run."""
 
-
-class PendingLock(NamedTuple):
-    """A request to another entry that has not been answered.
-
-    Attributes
-    ----------
-    job : JobState
-        The job whose id is to be locked.
-    owner : str
-        Process of that entry.
-    sent_at : float
-        Monotonic time of the request, in seconds.
-    resolve : callable
-        Called with whether the job may run.
-    """
-
-    job: JobState
-    owner: str
-    sent_at: float
-    resolve: Callable[[bool], None]
+LOST = "too few entries confirm the job any longer"
+"""Reason of the end of a job that may not go on."""
 
 
 class JobLocks:
-    """Locks the id of each job at the entry that owns it, before any task is assigned.
+    """Confirms each job by a majority of the replicas of its id, before any task is assigned.
 
-    The owner is found by rendezvous hashing over the connected entries, so that all of them ask
-    the same one. An owner that does not reply in time does not hold jobs up: they run without its
-    confirmation, which is logged, and end if it denies the lock later.
+    The replicas are the first entries in the order of the id, in a view that all entries share. A
+    job is confirmed while a majority of them has granted its lock and is in contact: of two
+    requests of one id, at most one is. An entry that reaches too few others starts nothing.
 
-    A lock lasts until every lease of the job's runs has expired, also after a pause of its holder.
+    A lock that is lost while the job's runs are active, as a replica is silent or has started
+    again, is asked for elsewhere; the job ends if that fails.
 
     Parameters
     ----------
     ctx : EntryContext
         Jobs and connections of the entry.
+    views : ViewKeeper
+        The view of the entries.
+    on_confirmed : callable
+        Called after jobs have been confirmed.
+    started_at : float
+        Monotonic time of the start of this process, in seconds.
 
     Attributes
     ----------
-    table : JobLockTable
-        Locks of the ids that this entry owns.
+    replica : LockReplica
+        Grants locks to all entries, this one included.
+    peers : EntryPeers
+        The other entries.
 
     Examples
     --------
-    ``locks.acquire(job, resolve)`` calls ``resolve(True)`` once the job may run, and
-    ``locks.on_finished(job, had_runs=False)`` releases its lock.
+    ``locks.acquire(handle)`` asks for the lock of a job, which may be placed while
+    ``handle.job.confirmed`` is true; ``locks.on_finished(job, had_runs=False)`` releases it.
     """
 
-    def __init__(self, ctx: EntryContext) -> None:
-        self.table = JobLockTable()
+    def __init__(
+        self,
+        ctx: EntryContext,
+        views: ViewKeeper,
+        on_confirmed: Callable[[], None],
+        started_at: float,
+    ) -> None:
+        times = lock_times(ctx.view.lease_s)
         self._ctx = ctx
+        self._views = views
+        self._on_confirmed = on_confirmed
         self._me = ctx.links.me.process
-        self._entries: dict[str, str] = {instance_of(self._me): self._me}
-        self._suspect_until: dict[str, float] = {}
-        self._owners: dict[str, str] = {}
+        self._my_name = instance_of(self._me)
+        self._lease_end_s = times.lease_end_s
+        self.replica = LockReplica(self._me, times, views, ctx.clock, ctx.metrics, started_at)
+        self.peers = EntryPeers(ctx.links, ctx.clock, times.lease_end_s)
+        self.peers.on_lapsed = self._on_lapsed
+        self._locks: dict[str, JobLock] = {}
+        self._waiting: dict[str, JobLock] = {}
         self._ending_until: dict[str, float] = {}
-        self._pending: dict[int, PendingLock] = {}
-        self._unconfirmed: dict[int, PendingLock] = {}
-        self._released: dict[str, list[str]] = defaultdict(list)
-        self._number = NO_REPLY
+        self._in_use: dict[str, dict[str, JobLock]] = {}
+        self._lapses_at = inf
+        self._was_acting = True
+        self._isolated_since: float | None = None
+        self._has_confirmed = False
+        self._peers_checked_at = 0.0
+        self._suspects: set[str] = set()
+
+    # State of this entry
+
+    def is_acting(self) -> bool:
+        """Whether the view is known, and cannot have changed unnoticed."""
+        now = self._ctx.clock.now()
+        view = self._views.view
+        if view is None or self._views.is_current(now):
+            return view is not None
+        # Nobody can have changed the view if every entry is still in contact with this one.
+        return all(
+            name == self._my_name
+            or self.peers.contacts.is_current(self.peers.process_of(name), now)
+            for name in view.members
+        )
+
+    def can_confirm(self) -> bool:
+        """Whether enough entries are expected to confirm a job."""
+        view = self._views.view
+        if view is None or not self.is_acting():
+            return False
+        reachable = {name for name in view.members if self._is_reachable(name)}
+        return view.reaches(reachable)
+
+    def _is_reachable(self, entry: str) -> bool:
+        if entry == self._my_name:
+            return not self.replica.abstains
+        return self.peers.is_reachable(entry)
+
+    def _slowness_s(self, entry: str) -> float:
+        if entry == self._my_name:
+            return inf if self.replica.abstains else 0.0
+        return self.peers.slowness_s(entry)
 
     # Jobs of this entry
 
-    def acquire(self, job: JobState, resolve: Callable[[bool], None]) -> None:
-        """Call ``resolve`` with whether a job may run, at once or when its owner has replied."""
-        job_id = job.spec.job_id
+    def acquire(self, handle: JobHandle) -> None:
+        """Ask for the lock of a job; the job ends at once if it cannot be confirmed."""
+        job = handle.job
         now = self._ctx.clock.now()
-        if now < self._ending_until.get(job_id, 0.0):
+        if now < self._ending_until.get(job.spec.job_id, 0.0):
             # Runs of an earlier request, whose caller has left, may still be active.
             self._ctx.metrics.count("job_locks", label="denied")
-            resolve(False)
+            self._ctx.finish(job, JobResult(JobOutcome.UNKNOWN, DENIED))
             return
-        owner = self._owner_of(job_id)
-        self._owners[job_id] = owner
-        if owner == self._me:
-            job.confirmed_by = [self._me]
-            self._log_if_alone(job)
-            resolve(self.table.acquire(job_id, self._me, self._expires_at(job), now))
+        if self._is_isolated(now):
+            self._refuse(job)
             return
-        self._number += 1
-        is_suspect = now < self._suspect_until.get(owner, 0.0)
-        waiting = self._unconfirmed if is_suspect else self._pending
-        waiting[self._number] = PendingLock(job, owner, now, resolve)
-        self._request(self._number, owner, job)
-        if is_suspect:
-            self._log_unconfirmed(job, owner)
-            resolve(True)
-
-    def _log_if_alone(self, job: JobState) -> None:
-        if len(self._entries) == 1:
-            logger.bind(job=job.spec.job_id).info("job runs as no other entry is connected")
-
-    def _log_unconfirmed(self, job: JobState, owner: str) -> None:
-        logger.bind(job=job.spec.job_id, peer=owner, connected=len(self._entries) - 1).info(
-            "job runs unconfirmed"
-        )
+        lock = JobLock(handle, now + CONFIRM_TIMEOUT_S)
+        self._locks[lock.job_id] = self._waiting[lock.job_id] = lock
+        self._advance(lock, now)
+        self._flush()
+
+    def _is_isolated(self, now: float) -> bool:
+        """Whether too few entries have been reachable for a while."""
+        if self.can_confirm():
+            self._isolated_since = None
+            return False
+        if self._isolated_since is None:
+            self._isolated_since = now
+        return now - self._isolated_since >= ISOLATED_S
+
+    def _flush(self, at_once: bool = False) -> None:
+        """Send what was asked for, and have placed what was confirmed."""
+        self.peers.flush(at_once)
+        if self._has_confirmed:
+            self._has_confirmed = False
+            self._on_confirmed()
+
+    def _refuse(self, job: JobState) -> None:
+        self._ctx.metrics.count("job_locks", label="refused")
+        self._log_belief(job, "job is not confirmed")
+        self._ctx.give_up(job, LOST if job.began else ISOLATED)
+
+    def _log_belief(self, job: JobState, event: str) -> None:
+        view = self._views.view
+        names = () if view is None else sorted(view.members)
+        logger.bind(
+            job=job.spec.job_id,
+            confirmed_by=job.confirmed_by,
+            view=self._views.version,
+            view_age_ms=self._views.age_ms(self._ctx.clock.now()),
+            unreachable=[name for name in names if not self._is_reachable(name)],
+            abstains=self.replica.abstains,
+        ).info(event)
+
+    def _advance(self, lock: JobLock, now: float) -> None:
+        """Take the next step towards the confirmation of a job, or its end."""
+        view = self._views.view
+        if view is None:
+            return
+        is_acting = self.is_acting()
+        if self._my_name not in lock.granted and lock.has_replica(view, self._my_name):
+            self._ask_self(lock, now)
+        if is_acting and lock.is_confirmed(view):
+            self._confirm(lock)
+        elif lock.is_denied(view, self._is_reachable, now):
+            self._deny(lock, now)
+        elif is_acting:
+            for entry in list(lock.to_ask(view, self._slowness_s, now)):
+                if entry != self._my_name and self.peers.ask(entry, lock):
+                    lock.on_asked(entry, now)
+
+    def _ask_self(self, lock: JobLock, now: float) -> None:
+        if now < lock.denied.get(self._my_name, 0.0):
+            return
+        lock.on_asked(self._my_name, now)
+        retry_ms = self.replica.lock(self.peers.request_for(lock), self._me)
+        if retry_ms is not None:
+            lock.on_denied(self._my_name, now + retry_ms / 1000 if retry_ms else inf)
+        elif self.replica.abstains:
+            lock.on_lost(self._my_name)
+        else:
+            lock.on_granted(self._my_name, self._me)
+
+    def _on_granted(self, lock: JobLock, process: str) -> None:
+        lock.on_granted(instance_of(process), process)
+        self._in_use.setdefault(process, {})[lock.job_id] = lock
+        self._lapses_at = min(self._lapses_at, self.peers.contacts.proved_until(process))
+
+    def _confirm(self, lock: JobLock) -> None:
+        job = lock.handle.job
+        self._waiting.pop(lock.job_id, None)
+        self._has_confirmed = True
+        job.confirmed = True
+        if not job.began:
+            self._ctx.backlog.put(job)
+        job.confirmed_by = sorted(lock.granted.values())
+
+    def _deny(self, lock: JobLock, now: float) -> None:
+        job = lock.handle.job
+        # The holder of the lock may have started the job.
+        job.may_have_run = True
+        retry_at = lock.retry_at()
+        if retry_at < min(job.deadline, now + 2 * CONFIRM_TIMEOUT_S + self._lease_end_s):
+            lock.give_up_at = max(lock.give_up_at, retry_at + CONFIRM_TIMEOUT_S)
+            return
+        self._log_belief(job, "job is denied")
+        self._ctx.finish(job, JobResult(JobOutcome.UNKNOWN, DENIED))
 
     def on_finished(self, job: JobState, had_runs: bool) -> None:
         """Release the lock of a job that has ended, once none of its runs can be active."""
-        job_id = job.spec.job_id
+        lock = self._locks.pop(job.spec.job_id, None)
+        if lock is None:
+            return
+        self._waiting.pop(lock.job_id, None)
+        for held in self._in_use.values():
+            held.pop(lock.job_id, None)
         if not had_runs:
-            self._release(job_id)
+            self._release(lock)
+            return
+        self._ending_until[lock.job_id] = self._ctx.clock.now() + self._lease_end_s
+        self._ctx.clock.call_later(self._lease_end_s, self._release_ended, lock)
+
+    def _release_ended(self, lock: JobLock) -> None:
+        if self._ctx.clock.now() >= self._ending_until.get(lock.job_id, 0.0):
+            self._ending_until.pop(lock.job_id, None)
+        if lock.job_id not in self._ctx.jobs:
+            self._release(lock)
+            self.peers.send_released()
+
+    def _release(self, lock: JobLock) -> None:
+        for entry in lock.asked:
+            if entry == self._my_name:
+                self.replica.release(lock.job_id)
+            else:
+                process = lock.granted.get(entry) or self.peers.process_of(entry)
+                self.peers.release(process, lock.job_id)
+
+    # Time
+
+    def refresh(self, now: float) -> None:
+        """Take back confirmations that no longer count; to be called before anything is placed."""
+        is_acting = self.is_acting()
+        was_acting, self._was_acting = self._was_acting, is_acting
+        if was_acting and not is_acting:
+            for lock in list(self._locks.values()):
+                self._lose(lock, now, now)
+        if now < self._lapses_at:
             return
-        delay_s = self._lease_end_s()
-        self._ending_until[job_id] = self._ctx.clock.now() + delay_s
-        self._ctx.clock.call_later(delay_s, self._release_ended, job_id)
-
-    def deny(self, job_id: str) -> None:
-        """Forget the lock of a job that may not run, since another entry holds it."""
-        self._owners.pop(job_id, None)
-
-    def _release_ended(self, job_id: str) -> None:
-        if self._ctx.clock.now() >= self._ending_until.get(job_id, 0.0):
-            self._ending_until.pop(job_id, None)
-        if job_id not in self._ctx.jobs:
-            self._send_released(self._release(job_id))
-
-    def _release(self, job_id: str) -> str:
-        """Release a lock with the next request to its owner, whose process is returned."""
-        owner = self._owners.pop(job_id, "")
-        if owner == self._me:
-            self.table.release(job_id, self._me)
-        elif owner:
-            if owner not in self._released:
-                self._ctx.clock.call_later(RELEASE_INTERVAL_S, self._send_released, owner)
-            self._released[owner].append(job_id)
-        return owner
-
-    def _send_released(self, owner: str) -> None:
-        released = self._released.pop(owner, [])
-        if released:
-            self._ctx.links.send(owner, LockJob(NO_REPLY, "", 0, released))
-
-    def _request(self, number: int, owner: str, job: JobState) -> None:
-        hold_ms = round((self._expires_at(job) - self._ctx.clock.now()) * 1000)
-        released = self._released.pop(owner, [])
-        self._ctx.metrics.count("job_locks", label="asked")
-        self._ctx.links.send(owner, LockJob(number, job.spec.job_id, hold_ms, released))
-
-    def _expires_at(self, job: JobState) -> float:
-        return job.deadline + self._lease_end_s()
-
-    def _lease_end_s(self) -> float:
-        """Seconds after which no run can be active that was withdrawn or has lost its entry."""
-        return leases_expire_at(0.0, self._ctx.view.lease_s)
-
-    def check_timeouts(self) -> None:
-        """Let jobs run whose owner has not replied in time."""
+        self._lapses_at = inf
+        for process, held in list(self._in_use.items()):
+            until = self.peers.contacts.proved_until(process)
+            if held and until <= now:
+                self._on_lapsed(process)
+            elif held:
+                self._lapses_at = min(self._lapses_at, until)
+
+    def _on_lapsed(self, process: str) -> None:
+        """Take back what a silent process has confirmed."""
+        held = self._in_use.pop(process, {})
+        if not held:
+            return
+        lapsed_at = self.peers.contacts.proved_until(process)
+        logger.bind(peer=process, jobs=len(held)).warning("locks of an entry lapsed")
         now = self._ctx.clock.now()
-        for number in list(_sent_before(self._unconfirmed, now - UNCONFIRMED_S)):
-            del self._unconfirmed[number]
-        for number in list(_sent_before(self._pending, now - LOCK_TIMEOUT_S)):
-            self._suspect(self._pending[number].owner, now)
-            self._run_unconfirmed(number)
-
-    def _suspect(self, owner: str, now: float) -> None:
-        if now < self._suspect_until.get(owner, 0.0):
+        for lock in list(held.values()):
+            lock.on_lost(instance_of(process))
+            self._lose(lock, lapsed_at, now)
+
+    def _lose(self, lock: JobLock, lapsed_at: float, now: float) -> None:
+        """Confirm a job again; one with active runs ends unless that succeeds at once."""
+        view = self._views.view
+        if lock.job_id not in self._locks or lock.job_id in self._waiting:
+            return
+        if view is not None and self._was_acting and lock.is_confirmed(view):
+            return
+        job = lock.handle.job
+        job.confirmed = False
+        lock.give_up_at = lapsed_at + GRACE_S if job.began else now + CONFIRM_TIMEOUT_S
+        self._waiting[lock.job_id] = lock
+        if now >= lock.give_up_at:
+            self._refuse(job)
+
+    def tick(self, now: float) -> None:
+        """Ask slow replicas again, give up what was not confirmed in time, and prove contact."""
+        self.refresh(now)
+        for lock in list(self._waiting.values()):
+            if lock.job_id in self._waiting:
+                self._advance(lock, now)
+            if lock.job_id in self._waiting and now >= lock.give_up_at:
+                self._refuse(lock.handle.job)
+        self._flush(at_once=True)
+        if now >= self._peers_checked_at + PEER_CHECK_INTERVAL_S:
+            self._peers_checked_at = now
+            self._is_isolated(now)
+            self._replace_suspects(now)
+            self.peers.beat(self._processes_in_use(now))
+
+    def _processes_in_use(self, now: float) -> Collection[str]:
+        """Processes whose contact matters, all of them while the store does not answer."""
+        if self._views.age_ms(now) > VIEW_STALE_S * 500:
+            return self.peers.connected()
+        return {process for process, held in self._in_use.items() if held}
+
+    def _replace_suspects(self, now: float) -> None:
+        """Ask other replicas of the locks granted by processes that have begun to be silent."""
+        view = self._views.view
+        suspects = {process for process in self._in_use if self.peers.is_suspect(process)}
+        new_suspects = suspects - self._suspects
+        self._suspects = suspects
+        if view is None:
             return
-        logger.bind(peer=owner).warning("job locks are not confirmed")
-        self._suspect_until[owner] = now + SUSPECT_S
-        if self._me < owner:
-            # Its connection may have stalled; only one side may replace it.
-            self._ctx.links.reconnect(owner)
-
-    def _run_unconfirmed(self, number: int) -> None:
-        self._ctx.metrics.count("job_locks", label="unconfirmed")
-        pending = self._unconfirmed[number] = self._pending.pop(number)
-        self._log_unconfirmed(pending.job, pending.owner)
-        pending.resolve(True)
+        for process in new_suspects:
+            doubted = [instance_of(process)]
+            for lock in self._in_use[process].values():
+                for entry in list(lock.to_ask(view, self._slowness_s, now, doubted)):
+                    if self.peers.ask(entry, lock):
+                        lock.on_asked(entry, now)
 
     # Other entries
 
-    def _owner_of(self, job_id: str) -> str:
-        if len(self._entries) == 1:
-            return self._me
-        return self._entries[rank_entries(job_id, self._entries)[0]]
-
-    def knows(self, process: str) -> bool:
-        """Whether a process is another entry with an open connection."""
-        return process != self._me and self._entries.get(instance_of(process)) == process
-
     def on_open(self, process: str) -> None:
-        """Add an entry, and lock there what it owns from now on."""
-        self._entries[instance_of(process)] = process
-        self._suspect_until.pop(process, None)
-        self._move_locks(process)
+        """Add an entry; one that has started anew has lost its locks."""
+        predecessor = self.replica.on_open(process)
+        self._ctx.links.send(process, self._locks_held_at(instance_of(process), predecessor))
+        self.peers.on_open(process)
+        for other in list(self._in_use):
+            if other != process and instance_of(other) == instance_of(process):
+                self._on_lapsed(other)
+
+    def _locks_held_at(self, entry: str, predecessor: Predecessor) -> LocksHeld:
+        """What an entry has granted, for a process that has lost the locks of its predecessor."""
+        granted = (lock for lock in self._locks.values() if entry in lock.granted)
+        held = [self.peers.request_for(lock) for lock in granted]
+        return LocksHeld(held, self.replica.age_ms(), int(predecessor), False)
+
+    def leave(self) -> None:
+        """Tell all entries that this one ends, if it has neither locks nor runs."""
+        if self._locks or self._ending_until:
+            return
+        for process in self.peers.connected():
+            msg = LocksHeld([], self.replica.age_ms(), int(Predecessor.UNKNOWN), True)
+            self._ctx.links.send(process, msg)
+
+    def on_held(self, msg: LocksHeld, process: str) -> None:
+        """Handle what another entry holds."""
+        self.replica.take_held(msg, process)
+        if msg.leaves:
+            self._on_lapsed(process)
 
     def on_close(self, process: str) -> None:
-        """Remove an entry; its locks go when every lease of its runs has expired."""
-        if self._entries.get(instance_of(process)) == process:
-            del self._entries[instance_of(process)]
-        self._released.pop(process, None)
-        for number in [n for n, each in self._pending.items() if each.owner == process]:
-            self._run_unconfirmed(number)
-        self._move_locks()
-        self._ctx.clock.call_later(self._lease_end_s(), self._forget, process)
-
-    def _forget(self, process: str) -> None:
-        if not self.knows(process):
-            self.table.release_all(process)
-
-    def _move_locks(self, reconnected: str = "") -> None:
-        """Lock the unfinished jobs at their present owners, after the entries have changed."""
-        for job_id in list(self._owners):
-            owner = self._owner_of(job_id)
-            handle = self._ctx.jobs.get(job_id)
-            if handle is None or owner == self._owners[job_id] != reconnected:
-                continue
-            self._owners[job_id] = owner
-            if owner == self._me:
-                expires_at = self._expires_at(handle.job)
-                self.table.acquire(job_id, self._me, expires_at, self._ctx.clock.now())
-            else:
-                self._request(NO_REPLY, owner, handle.job)
+        """Remove an entry; what it has granted counts until its contact lapses."""
+        for lock in self.peers.on_close(process):
+            lock.on_lost(instance_of(process))
 
-    def on_request(self, msg: LockJob, process: str) -> None:
-        """Handle a request of another entry."""
-        for job_id in msg.released:
-            self.table.release(job_id, process)
-        if not msg.job_id:
-            return
+    def on_view(self) -> None:
+        """Confirm every job by the replicas of a new view."""
+        view = self._views.view
         now = self._ctx.clock.now()
-        granted = msg.job_id not in self._ctx.jobs and self.table.acquire(
-            msg.job_id, process, now + msg.hold_ms / 1000, now
-        )
-        if not granted:
-            logger.bind(job=msg.job_id, peer=process).info("job lock denied")
-            self._ctx.metrics.count("job_locks", label="denied")
-        if msg.number != NO_REPLY:
-            self._ctx.links.send(process, JobLocked(msg.number, granted))
-
-    def on_reply(self, msg: JobLocked, process: str) -> None:
-        """Handle the reply of another entry."""
-        self._suspect_until.pop(process, None)
-        pending = self._pending.pop(msg.number, None)
-        if pending is not None:
-            pending.job.confirmed_by = [process]
-            pending.resolve(msg.granted)
-            return
-        unconfirmed = self._unconfirmed.pop(msg.number, None)
-        if unconfirmed is not None and not msg.granted:
-            unconfirmed.resolve(False)
+        for lock in list(self._locks.values()):
+            if view is not None and not lock.is_confirmed(view):
+                self._lose(lock, now, now)
+                self._advance(lock, now)
+        self._flush()
 
-
-def _sent_before(requests: dict[int, PendingLock], time: float) -> Iterator[int]:
-    """Numbers of the requests sent by a time; the earliest come first."""
-    return takewhile(lambda number: requests[number].sent_at <= time, requests)
+    def on_request(self, msg: LockJobs, process: str) -> None:
+        """Handle a request of another entry."""
+        denials = self.replica.grant(msg, process)
+        if msg.number:
+            answer = JobsLocked(
+                msg.number,
+                denials,
+                self.replica.abstains,
+                self._views.version,
+                self._views.age_ms(self._ctx.clock.now()),
+            )
+            self._ctx.links.send(process, answer)
+
+    def on_answer(self, msg: JobsLocked, process: str) -> None:
+        """Handle the answer of another entry."""
+        now = self._ctx.clock.now()
+        locks, sent_at = self.peers.on_answer(msg, process)
+        if sent_at is not None:
+            self._views.on_peer_age(msg.view_version, sent_at - msg.view_age_ms / 1000)
+        denials = {denial.position: denial.retry_ms for denial in msg.denials}
+        for position, lock in enumerate(locks):
+            if self._locks.get(lock.job_id) is not lock:
+                continue
+            if position in denials:
+                self._on_denied(lock, process, denials[position], now)
+            elif msg.abstains:
+                lock.on_lost(instance_of(process))
+            elif self.peers.contacts.is_current(process, now):
+                self._on_granted(lock, process)
+            if lock.job_id in self._waiting:
+                self._advance(lock, now)
+        self._flush()
+
+    def _on_denied(self, lock: JobLock, process: str, retry_ms: int, now: float) -> None:
+        self._in_use.get(process, {}).pop(lock.job_id, None)
+        lock.on_denied(instance_of(process), now + retry_ms / 1000 if retry_ms else inf)
--- a/src/gentianmux/leased/job_state.py
+++ b/src/gentianmux/leased/job_state.py
@@ -128,8 +128,10 @@
         Whether a task has failed too often.
     takes_any : bool
         Whether it no longer waits for an endpoint that is fast enough, as it would be refused.
+    confirmed : bool
+        Whether enough entries confirm that no other one runs it, so that its tasks may be assigned.
     confirmed_by : list of str
-        Processes of the entries that have confirmed that it may run; for the log.
+        Processes of these entries; for the log.
 
     Examples
     --------
@@ -156,6 +158,7 @@
         self.may_have_run = False
         self.failed = False
         self.takes_any = False
+        self.confirmed = False
         self.confirmed_by: list[str] = []
         self.tasks: dict[str, TaskState] = {}
         for number, step in enumerate(spec.steps):
--- a/src/gentianmux/leased/messages.py
+++ b/src/gentianmux/leased/messages.py
@@ -179,25 +179,77 @@
     number: int
 
 
-class LockJob(NamedTuple):
-    """Request to lock the id of a job, sent to the entry that owns the id.
+class LockRequest(NamedTuple):
+    """Request to lock the id of a job for ``hold_ms``."""
 
-    The receiver answers a ``number`` other than 0 with ``JobLocked``. The lock expires after
-    ``hold_ms``. ``released`` are ids that the sender no longer locks; ``job_id`` is empty if it
-    only releases some.
+    job_id: str
+    hold_ms: int
+
+
+class LockJobs(NamedTuple):
+    """Requests to lock ids of jobs, sent to an entry that is a replica of them.
+
+    The receiver answers a ``number`` other than 0 with ``JobsLocked``, also if there are no
+    requests: the answer proves contact. ``released`` are ids that the sender no longer locks.
     """
 
     number: int
-    job_id: str
-    hold_ms: int
+    requests: list[LockRequest]
     released: list[str]
 
 
-class JobLocked(NamedTuple):
-    """Answer to ``LockJob``: whether the sender of that request may run the job."""
+class LockDenial(NamedTuple):
+    """A request that was denied, by its position in the message.
+
+    ``retry_ms`` is the time after which the lock will have expired if the entry that holds it stays
+    silent; 0 while that entry is in contact.
+    """
+
+    position: int
+    retry_ms: int
+
+
+class JobsLocked(NamedTuple):
+    """Answer to ``LockJobs``: every request was granted, except those denied.
+
+    None is if the sender ``abstains``, since it has just started and lost the locks of its
+    predecessor. ``view_age_ms`` is the time since its view of the entries was known to be current.
+    """
 
     number: int
-    granted: bool
+    denials: list[LockDenial]
+    abstains: bool
+    view_version: int
+    view_age_ms: int
+
+
+class LocksHeld(NamedTuple):
+    """All ids that the sender has locked at the receiver, sent when a connection opens.
+
+    The receiver may have started anew, and lost the locks that its predecessor had granted.
+    ``age_ms`` is the time since the start of the sender, ``predecessor`` what it knows of the
+    predecessor of the receiver, a ``leased.vote_start.Predecessor``. ``leaves`` tells that the
+    sender ends, and has neither locks nor runs.
+    """
+
+    requests: list[LockRequest]
+    age_ms: int
+    predecessor: int
+    leaves: bool
+
+
+class EntriesKnown(NamedTuple):
+    """View of the entries that confirm jobs, and the addresses of entries by name.
+
+    Sent by entries and agents when a connection opens and on each change, so that it also reaches
+    processes that the store rejects.
+    """
+
+    version: int
+    settled: list[str]
+    target: list[str]
+    names: list[str]
+    addresses: list[str]
 
 
 class ConfigWanted(NamedTuple):
--- a/src/gentianmux/leased/placer.py
+++ b/src/gentianmux/leased/placer.py
@@ -74,6 +74,7 @@
         would otherwise stay idle.
         """
         now = self._ctx.clock.now()
+        self._ctx.refresh_locks(now)
         self._compare_speeds(now)
         assignments: dict[str, list[LeasedTask]] = defaultdict(list)
         for service in self._ctx.backlog.services():
@@ -118,7 +119,7 @@
                 self._ctx.window.record_blocked(now)
                 break
             need = job.demand.smallest
-            if now >= job.deadline or not job.ready_tasks():
+            if now >= job.deadline or not job.confirmed or not job.ready_tasks():
                 continue
             if too_large is not None and need.fits(too_large):
                 continue
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -17,6 +17,7 @@
 from ..messages import PROTOCOL_VERSION, Hello
 from ..metrics import Metrics
 from ..platform_log import KeyedLog
+from ..process_start import STARTED_AT
 from ..settings import Settings
 from .config_feed import ConfigFeed, ConfigSource
 from .directory import Announcement, Directory
@@ -191,22 +192,40 @@
     from .connectors import AgentConnector
     from .entry import Entry
     from .fleet_view import FleetView
+    from .view_writer import CHECK_INTERVAL_S as VIEW_CHECK_INTERVAL_S
+    from .view_writer import ViewWriter
 
     cfg = base.cfg
     view = FleetView(lease_s(cfg), Random(base.identity.process))
-    entry = Entry(view, base.links, base.feed, base.metrics, base.clock, cfg.link_bytes_s)
+    entry = Entry(
+        view, base.links, base.feed, base.metrics, base.clock, cfg.link_bytes_s, STARTED_AT
+    )
     directory = Directory(base.store, base.metrics)
 
     connector = AgentConnector(cfg.name, base.links)
+    writer = ViewWriter(cfg.name, directory, entry.views, entry.locks.peers, base.clock)
+    entry.view_broadcast.learn_address(cfg.name, cfg.peer_address)
 
     def on_announcement(found: Announcement) -> None:
+        if found.role == "entry":
+            entry.view_broadcast.learn_address(found.name, found.address)
+            entry.views.announced.add(found.name)
         preferred = connector.update(found)
         if preferred and found.report is not None:
             report = found.report
             cpu, domain = report.capacity.cpu, report.failure_domain
             view.expect_agent(found.name, report.service, domain, cpu, base.clock.now())
 
+    def on_store_read(asked_at: float) -> None:
+        if entry.views.view is None:
+            # No entry has confirmed a job yet.
+            entry.locks.replica.vote_at_once()
+        entry.views.on_store_read(asked_at)
+
     directory.on_found = on_announcement
+    directory.on_view = lambda view: entry.views.apply_if_newer(view, "store")
+    directory.on_read = on_store_read
+    entry.view_broadcast.on_address = lambda name, address: connector.dial_unknown(name, address)
     base.links.start()
     app = make_app(entry)
     callers = base.serve(cfg.http_address, app)
@@ -222,9 +241,11 @@
     entry.run_loops()
     for loop in (directory.follow, base.feed.run):
         gevent.spawn(loop)
+    gevent.spawn(run_periodically, VIEW_CHECK_INTERVAL_S, lambda: writer.step(connector.entries))
     directory.announce(Announcement(cfg.name, cfg.role, cfg.peer_address))
     stopping.wait()
     entry.shutdown.run(ACCEPT_AFTER_STOP_S, base.clock.now() + cfg.grace_s - GRACE_MARGIN_S)
+    entry.locks.leave()
     gevent.sleep(FLUSH_DELAY_S)
     base.close()
 
--- a/src/gentianmux/messages.py
+++ b/src/gentianmux/messages.py
@@ -15,11 +15,13 @@
     ConfigWanted,
     EndedRuns,
     EndpointState,
+    EntriesKnown,
     Evacuated,
     Holding,
-    JobLocked,
+    JobsLocked,
     LoadEcho,
-    LockJob,
+    LockJobs,
+    LocksHeld,
     Withdraw,
 )
 
@@ -388,8 +390,10 @@
     | Evacuated
     | Cancelled
     | CancelledSeen
-    | LockJob
-    | JobLocked
+    | LockJobs
+    | LocksHeld
+    | JobsLocked
+    | EntriesKnown
     | ConfigWanted
     | ConfigPiece
 )
--- a/src/gentianmux/platform/boot.py
+++ b/src/gentianmux/platform/boot.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 
+from ..process_start import STARTED_AT  # noqa: F401  isort: skip
 from ..codes import ResultCode
 from ..errors import GentianmuxError
 from ..leased.settings import LeasedSettings
--- a/src/gentianmux/platform/store.py
+++ b/src/gentianmux/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from urllib.parse import urlencode
 
 from loguru import logger
@@ -35,6 +35,9 @@
 KEYED_PREFIX = "keyed."
 """Prefix of the topics of which the store keeps the newest record of each key."""
 
+_MOVED_ON = 412
+"""Status of an append whose partition no longer ends at the given offset."""
+
 _LENGTH = struct.Struct("!I")
 _OFFSETS = struct.Struct("!QQ")
 
@@ -63,10 +66,14 @@
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Make a value the newest of its key; an empty value deletes the key."""
-        name = key.encode()
-        content = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(content)) + content
-        self._call("POST", "/v1/log-append", _partition(topic), body)
+        self._call("POST", "/v1/log-append", _partition(topic), _record(key, value))
+
+    def put_at(self, topic: str, key: str, value: bytes, end: int) -> bool:
+        """Make a value the newest of its key if the topic ends at an offset."""
+        query = {**_partition(topic), "at": end}
+        accepted = (200, _MOVED_ON)
+        reply = self._call("POST", "/v1/log-append", query, _record(key, value), accepted=accepted)
+        return reply.status != _MOVED_ON
 
     def newest(self, topic: str) -> Newest:
         """Read the newest value of each key, page by page."""
@@ -106,6 +113,7 @@
         query: dict[str, str | int],
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
+        accepted: Collection[int] = (200,),
     ) -> HttpReply:
         try:
             reply = self._http.call(method, f"{path}?{urlencode(query)}", body, timeout_s)
@@ -115,7 +123,7 @@
             raise LogError(
                 ResultCode.LOG_TRIMMED, f"{path}: the requested records are no longer kept"
             )
-        if reply.status != 200:
+        if reply.status not in accepted:
             raise self._unavailable(f"{path}: status {reply.status}")
         if not self._is_available:
             self._is_available = True
@@ -129,6 +137,13 @@
         return LogError(ResultCode.LOG_UNAVAILABLE, reason)
 
 
+def _record(key: str, value: bytes) -> bytes:
+    """Encode a record of a keyed topic, with its length."""
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
 def _partition(topic: str) -> dict[str, str | int]:
     return {"topic": KEYED_PREFIX + topic, "part": PARTITION}
 
--- a/src/gentianmux/platform_log.py
+++ b/src/gentianmux/platform_log.py
@@ -112,6 +112,10 @@
         """Set the newest value of a key; an empty value removes the key."""
         ...
 
+    def put_at(self, topic: str, key: str, value: bytes, end: int) -> bool:
+        """Set the newest value of a key if the topic ends at an offset; false if it does not."""
+        ...
+
     def newest(self, topic: str) -> Newest:
         """Read the newest value of each key."""
         ...
@@ -139,6 +143,13 @@
         """Set the newest value of a key."""
         self._records.setdefault(topic, []).append((key, value))
 
+    def put_at(self, topic: str, key: str, value: bytes, end: int) -> bool:
+        """Set the newest value of a key if the topic ends at an offset."""
+        if end != len(self._records.get(topic, [])):
+            return False
+        self.put(topic, key, value)
+        return True
+
     def newest(self, topic: str) -> Newest:
         """Read the newest value of each key."""
         records = self._records.get(topic, [])
--- a/src/gentianmux/schema.capnp
+++ b/src/gentianmux/schema.capnp
@@ -348,16 +348,43 @@
   number @0 :Int64;
 }
 
-struct LockJob {
+struct LockRequest {
+  jobId @0 :Text;
+  holdMs @1 :Int64;
+}
+
+struct LockJobs {
   number @0 :Int64;
-  jobId @1 :Text;
-  holdMs @2 :Int64;
-  released @3 :List(Text);
+  requests @1 :List(LockRequest);
+  released @2 :List(Text);
+}
+
+struct LockDenial {
+  position @0 :Int64;
+  retryMs @1 :Int64;
 }
 
-struct JobLocked {
+struct JobsLocked {
   number @0 :Int64;
-  granted @1 :Bool;
+  denials @1 :List(LockDenial);
+  abstains @2 :Bool;
+  viewVersion @3 :Int64;
+  viewAgeMs @4 :Int64;
+}
+
+struct LocksHeld {
+  requests @0 :List(LockRequest);
+  ageMs @1 :Int64;
+  predecessor @2 :Int64;
+  leaves @3 :Bool;
+}
+
+struct EntriesKnown {
+  version @0 :Int64;
+  settled @1 :List(Text);
+  target @2 :List(Text);
+  names @3 :List(Text);
+  addresses @4 :List(Text);
 }
 
 struct ConfigPiece {
@@ -407,7 +434,11 @@
     evacuated @35 :Evacuated;
     cancelled @36 :Cancelled;
     cancelledSeen @37 :CancelledSeen;
-    lockJob @38 :LockJob;
-    jobLocked @39 :JobLocked;
+    unused38 @38 :Void;
+    unused39 @39 :Void;
+    lockJobs @40 :LockJobs;
+    jobsLocked @41 :JobsLocked;
+    entriesKnown @42 :EntriesKnown;
+    locksHeld @43 :LocksHeld;
   }
 }
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -119,6 +119,8 @@
             at += 4 + length
         if topic in ("keyed.op", "keyed.servers"):
             return Response(403, b"")
+        if "at" in query and int(query["at"]) != self._end(topic):
+            return Response(412, json.dumps({"end": self._end(topic)}).encode())
         for key, value in rows:
             self.put(topic, key, value)
         self.writes += 1
--- a/tests/test_duplicate_requests.py
+++ b/tests/test_duplicate_requests.py
@@ -124,3 +124,71 @@
     """Guards against an entry that decides alone whether a job may run."""
     for world in play_all(name):
         assert_invariants_hold(world)
+
+
+WALK_S = 12.0
+RESEND_S = 1.3
+
+
+def disturb(world: World, rng: Random) -> None:
+    """Cause a random fault of entries, and sometimes of an agent."""
+    one, other = rng.sample(sorted(world.entries), 2)
+    seconds = rng.choice((0.1, 0.3, 0.7, 1.5, 3.0))
+    kind = rng.randrange(7)
+    if kind == 0:
+        pause(
+            world,
+            rng.sample(sorted(world.entries), rng.randint(1, min(3, len(world.entries)))),
+            seconds,
+        )
+    elif kind == 1:
+        cut_off(world, rng.sample(sorted(world.entries), rng.randint(1, 2)), seconds)
+    elif kind == 2:
+        world.cut_apart(one, other, seconds)
+    elif kind == 3:
+        close_connections(world, [one])
+    elif kind == 4 and world.process_of(one) in world.alive:
+        world.kill(world.process_of(one))
+        world.at(rng.uniform(0.05, 1.5), "", world.start_entry, one)
+    elif kind == 5:
+        world.freeze(world.process_of(rng.choice(sorted(world.machines))), seconds)
+    else:
+        world.cut_apart(rng.choice(sorted(world.machines)), one, seconds)
+
+
+def hand_in_often(world: World, rng: Random, job_id: str) -> None:
+    """Hand one job in at several entries, at random times and as callers repeat it."""
+    run_s = rng.choice((0.3, 1.2, 2.5))
+    for _ in range(rng.randint(2, 5)):
+        delay_s = rng.choice((0.0, 0.002, rng.uniform(0.0, 0.5), RESEND_S, rng.uniform(0.0, 4.0)))
+        entry = rng.choice(sorted(world.entries))
+        world.at(delay_s, "", submit_if_alive, world, entry, job_id, run_s)
+
+
+def submit_if_alive(world: World, entry: str, job_id: str, run_s: float) -> None:
+    process = world.process_of(entry)
+    if process in world.alive and process not in world.frozen:
+        submit(world, entry, job_id, run_s)
+
+
+def walk(seed: int, entries: int) -> World:
+    """Let callers hand in the same jobs at several entries while these fail at random."""
+    rng = Random(seed)
+    world = ready_world(AGENTS, entries, seed)
+    end = world.time + WALK_S
+    number = 0
+    while world.time < end:
+        number += 1
+        hand_in_often(world, rng, f"{seed:08x}{number:08x}")
+        if rng.random() < 0.5:
+            disturb(world, rng)
+        world.run(rng.uniform(0.05, 0.8))
+    world.run(6.0)
+    return world
+
+
+@pytest.mark.parametrize("entries", [2, 3, 5, 9])
+@pytest.mark.parametrize("seed", range(4))
+def test_jobs_handed_in_at_several_entries_at_random_run_once(seed: int, entries: int) -> None:
+    """Guards against two runs of one task, whatever is paused, cut off, reset or killed."""
+    assert_invariants_hold(walk(seed, entries))
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bench.leased_links import ONE_WAY_S
 from bench.leased_world import World
 from gentianmux.leased.evacuations import EvacuationFeed, Evacuations
 from gentianmux.leased.fallback_reader import CHECK_INTERVAL_S
@@ -167,6 +168,7 @@
     forward = machine.links.send
     machine.links.send = lambda peer, msg: (sent.append(msg), forward(peer, msg))[1]  # type: ignore[method-assign]
     jobs = [world.submit("e0", tasks=6, run_s=0.2) for _ in range(3)]
+    world.run(2.4 * ONE_WAY_S)
     # The agents learn of the evacuation while the assignments are in flight.
     world.store.put("config", "evacuate/fd1", b"{}")
     for each in world.machines.values():
