An odd record of the store hides no other one

Cause: a page of the store was decoded as a whole, so one item whose key is no text, or whose value is missing or no base64, kept a process from following the topic.

Change: such items and records are skipped one by one, with a warning.

--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -227,6 +227,7 @@
 
 def _decode_all(found: Iterable[tuple[str, bytes]]) -> Iterator[Announcement]:
     for name, value in found:
-        announcement = decode_announcement(name, value) if value and name != VIEW_KEY else None
+        is_announcement = name not in ("", VIEW_KEY) and bool(value)
+        announcement = decode_announcement(name, value) if is_announcement else None
         if announcement is not None:
             yield announcement
--- a/src/gentianmux/platform/store.py
+++ b/src/gentianmux/platform/store.py
@@ -2,7 +2,8 @@
 
 import base64
 import struct
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
+from typing import Any
 from urllib.parse import urlencode
 
 from loguru import logger
@@ -35,6 +36,12 @@
 KEYED_PREFIX = "keyed."
 """Prefix of the topics of which the store keeps the newest record of each key."""
 
+UNREADABLE_KEY = ""
+"""Stands for a key that is no text; no record that is used has an empty one."""
+
+MAX_LOGGED_CHARS = 200
+"""Characters of an unreadable record that are logged."""
+
 _MOVED_ON = 412
 """Status of an append whose partition no longer ends at the given offset."""
 
@@ -84,8 +91,7 @@
             try:
                 page = reply.json()
                 items = page["items"]
-                # ``value`` is base64 here, unlike in the records of ``log-read``.
-                values |= {item["key"]: base64.b64decode(item["value"]) for item in items}
+                values.update(_read_items(items))
                 end = int(page["end"])
                 more = bool(page.get("has_more")) and bool(items)
             except (NoAnswer, KeyError, TypeError, ValueError) as exc:
@@ -157,5 +163,29 @@
         if len(content) < length or not content:
             raise ValueError("truncated record")
         name_end = 1 + content[0]
-        yield content[1:name_end].decode(), content[name_end:]
         at += _LENGTH.size + length
+        try:
+            key = content[1:name_end].decode()
+        except UnicodeDecodeError:
+            _log_unreadable(content[1:name_end])
+            key = UNREADABLE_KEY
+        yield key, content[name_end:]
+
+
+def _read_items(items: Iterable[Any]) -> Iterator[tuple[str, bytes]]:
+    """Keys and values of a page; an unreadable one of another writer does not hide the others."""
+    for item in items:
+        try:
+            # ``value`` is base64 here, unlike in the records of ``log-read``.
+            key, value = item["key"], base64.b64decode(item["value"])
+        except (KeyError, TypeError, ValueError):
+            _log_unreadable(item)
+            continue
+        if isinstance(key, str):
+            yield key, value
+        else:
+            _log_unreadable(item)
+
+
+def _log_unreadable(record: object) -> None:
+    logger.bind(record=repr(record)[:MAX_LOGGED_CHARS]).warning("record of the store unreadable")
--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -20,7 +20,9 @@
 from gentianmux.metrics import Metrics
 from gentianmux.platform.config import CONFIG_SOURCE, decode_config
 from gentianmux.platform.endpoint import decode_heartbeat
-from gentianmux.platform_log import Changes, Newest
+from gentianmux.platform.http_client import HttpReply
+from gentianmux.platform.store import PlatformStore
+from gentianmux.platform_log import Changes, MemoryKeyedLog, Newest
 from gentianmux.settings import Settings
 from gentianmux.typed_json import read_object
 
@@ -205,3 +207,82 @@
 def test_topic_of_announcements_is_unchanged() -> None:
     # Processes of the previous version read it during an upgrade.
     assert TOPIC == "gentianmux-members"
+
+
+ODD_ANNOUNCEMENTS = (
+    DEEPLY_NESTED,
+    b'{"role": "agent", "address": "10.0.0.1:70000"}',
+    b'{"role": "entry", "address": "10.0.0.1:70000"}',
+    b'{"role": "entry", "address": "10.0.0.1"}',
+    b'{"role": "agent", "address": "10.0.0.1:80", "report": {"capacity": [1e400, 1, 1]}}',
+    b'{"role": "agent", "address": "10.0.0.1:80", "report": {"sequence": ' + b"9" * 5000 + b"}}",
+    b'{"role": 1e400, "address": ' + b"9" * 5000 + b"}",
+    b"\xff\x00",
+)
+
+
+class FakeHttp:
+    """Returns one response to every call."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    def call(self, *args: object, **kwargs: object) -> HttpReply:
+        return HttpReply(200, self._body)
+
+
+def store_with(body: bytes) -> PlatformStore:
+    store = PlatformStore("127.0.0.1:1")
+    store._http = FakeHttp(body)  # type: ignore[assignment]
+    return store
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"key": 7, "value": "e30="},
+        {"key": None, "value": "e30="},
+        {"key": ["w2"], "value": "e30="},
+        {"key": "w2"},
+        {"key": "w2", "value": "*"},
+        {"key": "w2", "value": 1e300},
+        {"value": "e30="},
+        "w2",
+        None,
+    ],
+)
+def test_odd_item_of_a_page_hides_no_other(odd: object) -> None:
+    """Guards against processes that stop following a topic for one record of another writer."""
+    good = {"key": "w1", "value": "e30="}
+    page = {"items": [odd, good], "has_more": False, "end": 9}
+    assert store_with(json.dumps(page).encode()).newest("t") == Newest({"w1": b"{}"}, 9)
+
+
+def test_record_with_odd_key_hides_no_other() -> None:
+    """Guards against processes that stop following a topic for one record of another writer."""
+    records = b"".join(
+        len(content).to_bytes(4, "big") + content
+        for content in (b"\x02\xff\xfe{}", b"\x02w1{}", b"\x00{}")
+    )
+    changes = store_with(bytes(16) + records).changes("t", 5, 0.0)
+    assert [value for value in changes.values if value[0]] == [("w1", b"{}")]
+    assert changes.end == 8
+
+
+@pytest.mark.parametrize("odd", ODD_ANNOUNCEMENTS)
+def test_odd_announcement_does_not_end_the_following(odd: bytes) -> None:
+    """Guards against processes that stop following the announcements for an odd one."""
+    store = MemoryKeyedLog()
+    directory = Directory(store, Metrics(Settings()))
+    found: list[str] = []
+    directory.on_found = lambda each: found.append(each.name)
+    for name in ("w0", "odd", "w1"):
+        store.put(
+            TOPIC, name, odd if name == "odd" else b'{"role": "agent", "address": "1.2.3.4:5"}'
+        )
+    directory.follow_once()
+    store.put(TOPIC, "odd", odd)
+    store.put(TOPIC, "", b"{}")
+    store.put(TOPIC, "w2", b'{"role": "agent", "address": "1.2.3.4:6"}')
+    directory.follow_once()
+    assert found == ["w0", "w1", "w2"]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,6 +10,7 @@
 import gevent
 import pytest
 from platform_deployment import CONFIG, Deployment, job_body
+from test_malformed_records import ODD_ANNOUNCEMENTS
 
 COMPLETED = b'{"state": "completed"}'
 
@@ -222,3 +223,19 @@
     deployment.store.put("keyed.op", "evacuate/z1", b"")
     gevent.sleep(0.3)
     assert deployment.submit("0000000000000163", job_body()) == (200, COMPLETED)
+
+
+def test_odd_announcements_of_another_writer_end_no_process(deployment: Deployment) -> None:
+    """Guards against entries and agents that end, or stop following, for one odd record."""
+    for number, odd in enumerate(ODD_ANNOUNCEMENTS):
+        deployment.store.put("keyed.gentianmux-members", f"odd-{number}", odd)
+    gevent.sleep(0.3)
+    deployment.processes["side-0"].kill()
+    deployment.processes["side-0"].wait()
+    known = len(deployment.log_of("front-0"))
+    deployment.start("side-0", "agent")
+    deployment.wait_logged("front-0", "endpoint state", '"accepting": true', after=known)
+    assert deployment.submit("00000000000000ad", job_body(tasks=12)) == (200, COMPLETED)
+    assert {process.poll() for process in deployment.processes.values()} == {None}
+    assert "announcement unreadable" in deployment.log_of("front-0")
+    assert "a repeated step failed" not in deployment.log_lines("a repeated step failed")
