A replica that begins to grant while it answers does not grant unrecorded locks

Whether a started entry abstains was looked at again after its locks had been recorded or not; if it began to grant in between, it granted what it had not recorded.

Change: it is looked at once for each message.

--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -207,12 +207,12 @@
     def _ask_self(self, lock: JobLock, now: float) -> None:
         if now < lock.denied.get(self._my_name, 0.0):
             return
+        if self.replica.abstains:
+            return
         lock.on_asked(self._my_name, now)
         retry_ms = self.replica.lock(self.peers.request_for(lock), self._me)
         if retry_ms is not None:
             lock.on_denied(self._my_name, now + retry_ms / 1000 if retry_ms else inf)
-        elif self.replica.abstains:
-            lock.on_lost(self._my_name)
         else:
             lock.on_granted(self._my_name, self._me)
 
@@ -401,12 +401,12 @@
 
     def on_request(self, msg: LockJobs, process: str) -> None:
         """Handle a request of another entry."""
-        denials = self.replica.grant(msg, process)
+        grant = self.replica.grant(msg, process)
         if msg.number:
             answer = JobsLocked(
                 msg.number,
-                denials,
-                self.replica.abstains,
+                grant.denials,
+                grant.abstains,
                 self._views.version,
                 self._views.age_ms(self._ctx.clock.now()),
             )
--- a/src/gentianmux/leased/lock_replica.py
+++ b/src/gentianmux/leased/lock_replica.py
@@ -1,5 +1,7 @@
 """Grants locks of job ids to entries, as one of the replicas of each id."""
 
+from typing import NamedTuple
+
 from loguru import logger
 
 from ..clock import Clock
@@ -16,6 +18,13 @@
 """Time after which an entry that has not announced itself asks again; the store takes less."""
 
 
+class Grant(NamedTuple):
+    """The denied requests of a message, or that none of it was recorded."""
+
+    denials: list[LockDenial]
+    abstains: bool
+
+
 class LockReplica:
     """Holds the locks that this entry has granted, in memory.
 
@@ -43,7 +52,7 @@
 
     Examples
     --------
-    ``replica.grant(msg, "e2.5")`` returns the denials of a request, ``replica.lock(request,
+    ``replica.grant(msg, "e2.5")`` answers a request, ``replica.lock(request,
     me)`` locks an id for this entry itself.
     """
 
@@ -88,16 +97,20 @@
         """Milliseconds since this process started."""
         return round(self._start.age_s(self._clock.now()) * 1000)
 
-    def grant(self, msg: LockJobs, holder: str) -> list[LockDenial]:
-        """Release and lock what another entry asks for; returns the denials."""
+    def grant(self, msg: LockJobs, holder: str) -> Grant:
+        """Release and lock what another entry asks for."""
         self._heard_at[holder] = self._clock.now()
         for job_id in msg.released:
             self.table.release(job_id, holder)
+        # Read once: what was not recorded must not count.
+        if self.abstains:
+            return Grant([], True)
         results = ((i, self.lock(request, holder)) for i, request in enumerate(msg.requests))
-        return [LockDenial(i, retry_ms) for i, retry_ms in results if retry_ms is not None]
+        denials = [LockDenial(i, retry_ms) for i, retry_ms in results if retry_ms is not None]
+        return Grant(denials, False)
 
     def lock(self, request: LockRequest, holder: str) -> int | None:
-        """Lock an id, or extend its lock.
+        """Lock an id, or extend its lock; not to be called while this entry abstains.
 
         Returns
         -------
@@ -106,9 +119,6 @@
         """
         if not self._views.is_known(instance_of(holder)):
             return UNKNOWN_RETRY_MS
-        if self.abstains:
-            # What entries hold must not meet a lock that never counted.
-            return None
         job_id = request.job_id
         now = self._clock.now()
         other = self.table.holder_of(job_id)
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -9,7 +9,9 @@
 from gentianmux.clock import Clock
 from gentianmux.leased.directory import VIEW_KEY, Directory
 from gentianmux.leased.entry_view import EntryView, decode_view, is_majority, new_view
+from gentianmux.leased.lock_replica import LockReplica
 from gentianmux.leased.lock_times import LockTimes
+from gentianmux.leased.messages import LockJobs, LockRequest
 from gentianmux.leased.view_changes import (
     ADD_AFTER_S,
     LOST_MAJORITY_S,
@@ -187,3 +189,29 @@
         world.run(1.0)
     world.run(4.0)
     assert_invariants_hold(world)
+
+
+class SteppingClock(Clock):
+    """Time that goes on with each look at it."""
+
+    def __init__(self, start: float, step_s: float) -> None:
+        super().__init__()
+        self._time, self._step_s = start, step_s
+
+    def now(self) -> float:
+        self._time += self._step_s
+        return self._time
+
+
+@pytest.mark.parametrize("looks", range(1, 12))
+def test_lock_that_was_not_recorded_is_not_granted(looks: int) -> None:
+    """Guards against a started entry that begins to grant between recording and answering."""
+    times = LockTimes(1.1)
+    start = 100.0
+    clock = SteppingClock(start + times.drop_after_s - looks * 0.01 - 0.005, 0.01)
+    views = ViewKeeper(clock)
+    views.apply_if_newer(VIEW, "store")
+    replica = LockReplica("e1.5", times, views, clock, Metrics(Settings()), start)
+    grant = replica.grant(LockJobs(1, [LockRequest("a", 5000), LockRequest("b", 5000)], []), "e2.5")
+    assert grant.abstains == (not replica.table.holder_of("a"))
+    assert grant.abstains == (not replica.table.holder_of("b"))
