Jobs wait while all entries have just started; idle entries exchange less

Change: a job waits until entries that have just started confirm jobs, otherwise 0.5 s in place of 0.75. Idle entries ask one another every 2 s.

--- a/src/gentianmux/leased/entry_peers.py
+++ b/src/gentianmux/leased/entry_peers.py
@@ -18,7 +18,7 @@
 BEAT_S = 0.3
 """Longest time between two requests to an entry that confirms unfinished jobs of this one."""
 
-IDLE_BEAT_S = 1.0
+IDLE_BEAT_S = 2.0
 """The same while it confirms none."""
 
 RELEASE_INTERVAL_S = 0.5
--- a/src/gentianmux/leased/job_locks.py
+++ b/src/gentianmux/leased/job_locks.py
@@ -18,13 +18,17 @@
 from .view_keeper import ViewKeeper
 from .vote_start import Predecessor
 
-CONFIRM_TIMEOUT_S = 0.75
-"""Time within which a new job has to be confirmed: entries that have all been restarted confirm
-jobs again sooner. Its caller is better served by another entry than by a longer wait."""
+CONFIRM_TIMEOUT_S = 0.5
+"""Time within which a new job has to be confirmed. Its caller is better served by another entry
+than by a longer wait."""
 
-ISOLATED_S = 0.75
+ISOLATED_S = 0.5
 """Time without enough other entries from which on jobs are refused at once."""
 
+START_MARGIN_S = 0.4
+"""Time by which entries that were all restarted may begin to grant locks later than expected, while
+jobs wait for them."""
+
 PEER_CHECK_INTERVAL_S = 0.1
 """Time between checks of the other entries, a fraction of the times that they are allowed."""
 
@@ -147,7 +151,7 @@
         if self._is_isolated(now):
             self._refuse(job)
             return
-        lock = JobLock(handle, now + CONFIRM_TIMEOUT_S)
+        lock = JobLock(handle, max(now + CONFIRM_TIMEOUT_S, self._waits_until()))
         self._locks[lock.job_id] = self._waiting[lock.job_id] = lock
         self._advance(lock, now)
         self._flush()
@@ -161,7 +165,13 @@
 
     def _is_isolated(self, now: float) -> bool:
         since = self._isolated_since
-        return since is not None and now - since >= ISOLATED_S
+        return since is not None and now >= max(since + ISOLATED_S, self._waits_until())
+
+    def _waits_until(self) -> float:
+        """Monotonic time until which jobs wait for an entry that has just started."""
+        if not self.replica.abstains:
+            return 0.0
+        return self.replica.votes_expected_at + START_MARGIN_S
 
     def _flush(self, at_once: bool = False) -> None:
         """Send what was asked for, and have placed what was confirmed."""
--- a/src/gentianmux/leased/lock_replica.py
+++ b/src/gentianmux/leased/lock_replica.py
@@ -93,6 +93,11 @@
                 logger.bind(age_ms=self.age_ms()).info("job locks granted from now on")
         return not self._votes
 
+    @property
+    def votes_expected_at(self) -> float:
+        """Monotonic time at which grants begin to count if all entries have started together."""
+        return self._start.started_at + self._times.lease_end_s
+
     def age_ms(self) -> int:
         """Milliseconds since this process started."""
         return round(self._start.age_s(self._clock.now()) * 1000)
--- a/src/gentianmux/leased/view_writer.py
+++ b/src/gentianmux/leased/view_writer.py
@@ -18,8 +18,8 @@
 """Time from the start of an entry to its first view, within which the others announce themselves
 when all start together."""
 
-SILENT_S = 3.0
-"""Time without an answer from which an entry counts as silent: a few idle beats."""
+SILENT_S = 5.0
+"""Time without an answer from which an entry counts as silent: two idle beats."""
 
 
 class ViewWriter:
--- a/src/gentianmux/leased/vote_start.py
+++ b/src/gentianmux/leased/vote_start.py
@@ -52,6 +52,11 @@
     times : LockTimes
         How long locks and runs may last.
 
+    Attributes
+    ----------
+    started_at : float
+        Monotonic time of that start.
+
     Examples
     --------
     >>> start = VoteStart(10.0, LockTimes(1.1))
@@ -61,13 +66,13 @@
     """
 
     def __init__(self, started_at: float, times: LockTimes) -> None:
-        self._started_at = started_at
+        self.started_at = started_at
         self._times = times
         self._told: dict[str, PeerStart] = {}
 
     def age_s(self, now: float) -> float:
         """Seconds since this process started."""
-        return now - self._started_at
+        return now - self.started_at
 
     def on_told(self, entry: str, start: PeerStart) -> None:
         """Note what an entry has told."""
@@ -88,8 +93,8 @@
         if others is None or not self._told.keys() >= set(others):
             return False
         told = self._told.values()
-        last_start = max((start.started_at for start in told), default=self._started_at)
-        if now >= max(last_start, self._started_at) + self._times.lease_end_s:
+        last_start = max((start.started_at for start in told), default=self.started_at)
+        if now >= max(last_start, self.started_at) + self._times.lease_end_s:
             return True
         return self._has_left()
 
