A view of the entries that cannot be read is not taken for a first start

Where the record of the view was unreadable, as another writer may leave it, an entry that started granted locks at once and wrote a first view.

--- a/src/gentianmux/leased/directory.py
+++ b/src/gentianmux/leased/directory.py
@@ -146,12 +146,18 @@
         self._offset: int | None = None
         self._end = 0
         self._has_read = False
+        self._began_empty = False
 
     @property
     def has_read(self) -> bool:
         """Whether the announcements have been read."""
         return self._has_read
 
+    @property
+    def began_empty(self) -> bool:
+        """Whether the first read found no view, not even an unreadable one."""
+        return self._began_empty
+
     def announce(self, announcement: Announcement) -> None:
         """Write an announcement in the background, retrying until the store confirms it."""
         self._pending = announcement
@@ -204,6 +210,8 @@
             gevent.sleep(RETRY_DELAY_S)
             return
         self._offset = self._end = offset
+        if not self._has_read:
+            self._began_empty = all(name != VIEW_KEY for name, _ in found)
         self._has_read = True
         for each in _decode_all(found):
             self.on_found(each)
--- a/src/gentianmux/leased/entry_view.py
+++ b/src/gentianmux/leased/entry_view.py
@@ -13,7 +13,10 @@
 """Entries that may confirm a job: the first ones in the order of its id."""
 
 NO_VERSION = 0
-"""Version of a view that does not exist; the first one is 1."""
+"""Version of a view that does not exist."""
+
+FIRST_VERSION = 1
+"""Version of the view that is written where there is none."""
 
 
 class EntryView(NamedTuple):
--- a/src/gentianmux/leased/process.py
+++ b/src/gentianmux/leased/process.py
@@ -191,6 +191,7 @@
     """
     from .connectors import AgentConnector
     from .entry import Entry
+    from .entry_view import FIRST_VERSION, EntryView
     from .fleet_view import FleetView
     from .view_writer import CHECK_INTERVAL_S as VIEW_CHECK_INTERVAL_S
     from .view_writer import ViewWriter
@@ -216,15 +217,15 @@
             cpu, domain = report.capacity.cpu, report.failure_domain
             view.expect_agent(found.name, report.service, domain, cpu, base.clock.now())
 
-    def on_store_read(asked_at: float) -> None:
-        if entry.views.view is None:
+    def on_view(found: EntryView) -> None:
+        if found.version == FIRST_VERSION and entry.views.view is None and directory.began_empty:
             # No entry has confirmed a job yet.
             entry.locks.replica.vote_at_once()
-        entry.views.on_store_read(asked_at)
+        entry.views.apply_if_newer(found, "store")
 
     directory.on_found = on_announcement
-    directory.on_view = lambda view: entry.views.apply_if_newer(view, "store")
-    directory.on_read = on_store_read
+    directory.on_view = on_view
+    directory.on_read = entry.views.on_store_read
     entry.view_broadcast.on_address = lambda name, address: connector.dial_unknown(name, address)
     base.links.start()
     app = make_app(entry)
--- a/src/gentianmux/leased/view_changes.py
+++ b/src/gentianmux/leased/view_changes.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
-from .entry_view import NO_VERSION, EntryView, is_majority, new_view
+from .entry_view import FIRST_VERSION, EntryView, is_majority, new_view
 
 VIEW_STALE_S = 15.0
 """Age from which a view may have changed unnoticed. Outages of the store that are shorter are not
@@ -50,7 +50,7 @@
 def first_view(observed: Observation) -> EntryView:
     """Return the first view: every entry that is announced, since none has confirmed a job yet."""
     names = {observed.me, *observed.announced}
-    return new_view(NO_VERSION + 1, names, names)
+    return new_view(FIRST_VERSION, names, names)
 
 
 def next_view(view: EntryView, observed: Observation) -> EntryView | None:
--- a/src/gentianmux/leased/view_writer.py
+++ b/src/gentianmux/leased/view_writer.py
@@ -8,7 +8,7 @@
 from .directory import Directory
 from .entry_peers import EntryPeers
 from .entry_view import EntryView
-from .view_changes import Observation, first_view, next_view
+from .view_changes import LOST_MAJORITY_S, Observation, first_view, next_view
 from .view_keeper import ViewKeeper
 
 CHECK_INTERVAL_S = 0.5
@@ -66,13 +66,17 @@
         )
         if view is not None:
             proposed = next_view(view, observed)
-        elif self._directory.has_read and now - self._started_at >= FIRST_VIEW_DELAY_S:
+        elif self._directory.has_read and now - self._started_at >= self._first_view_delay_s():
             proposed = first_view(observed)
         else:
             proposed = None
         if proposed is not None:
             self._propose(proposed)
 
+    def _first_view_delay_s(self) -> float:
+        """Time to wait for a view of others, longer if there is an unreadable one."""
+        return FIRST_VIEW_DELAY_S if self._directory.began_empty else LOST_MAJORITY_S
+
     def _observe(self, names: Iterable[str], now: float) -> None:
         """Count for how long each entry has been silent, without pauses of this process."""
         passed_s = min(now - self._stepped_at, 2 * CHECK_INTERVAL_S)
--- a/tests/test_entry_view.py
+++ b/tests/test_entry_view.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from bench.leased_links import FakeLinks
 from bench.leased_world import World
 from gentianmux.clock import Clock
 from gentianmux.leased.directory import VIEW_KEY, Directory
+from gentianmux.leased.entry_peers import EntryPeers
 from gentianmux.leased.entry_view import EntryView, decode_view, is_majority, new_view
 from gentianmux.leased.lock_replica import LockReplica
 from gentianmux.leased.lock_times import LockTimes
@@ -22,7 +24,9 @@
     next_view,
 )
 from gentianmux.leased.view_keeper import ViewKeeper
+from gentianmux.leased.view_writer import ViewWriter
 from gentianmux.leased.vote_start import PeerStart, Predecessor, VoteStart
+from gentianmux.messages import PROTOCOL_VERSION, Hello
 from gentianmux.metrics import Metrics
 from gentianmux.platform_log import MemoryKeyedLog
 from gentianmux.settings import Settings
@@ -130,6 +134,8 @@
     directory = Directory(store, Metrics(Settings()))
     directory.follow_once()
     assert directory.has_read
+    # It is empty, not unreadable, in one case only.
+    assert directory.began_empty == (value == b"")
 
 
 def test_view_that_may_have_changed_unnoticed_is_not_current() -> None:
@@ -215,3 +221,21 @@
     grant = replica.grant(LockJobs(1, [LockRequest("a", 5000), LockRequest("b", 5000)], []), "e2.5")
     assert grant.abstains == (not replica.table.holder_of("a"))
     assert grant.abstains == (not replica.table.holder_of("b"))
+
+
+@pytest.mark.parametrize("odd", [False, True])
+def test_unreadable_view_is_not_taken_for_the_first_start(odd: bool) -> None:
+    """Guards against an entry that replaces a view it cannot read, and grants locks at once."""
+    clock = SteppingClock(100.0, 1.0)
+    store = MemoryKeyedLog()
+    if odd:
+        store.put("gentianmux-members", VIEW_KEY, b"[")
+    directory = Directory(store, Metrics(Settings()))
+    links = FakeLinks(World(0, 0), Hello(PROTOCOL_VERSION, "e1.5", "entry", ""), clock)
+    peers = EntryPeers(links, clock, 1.1)  # type: ignore[arg-type]
+    writer = ViewWriter("e1", directory, ViewKeeper(clock), peers, clock)
+    directory.follow_once()
+    writer.step([])
+    writer.step([])
+    written = store.newest("gentianmux-members").values.get(VIEW_KEY, b"")
+    assert (decode_view(written) is None) == odd
