--- a/src/gentianmux/process_start.py
+++ b/src/gentianmux/process_start.py
@@ -1,10 +1,5 @@
 """When this process started; imported before anything that takes time to import."""
 
-from time import clock_gettime, monotonic
+import time
 
-try:
-    from time import CLOCK_BOOTTIME
-except ImportError:
-    STARTED_AT = monotonic()
-else:
-    STARTED_AT = clock_gettime(CLOCK_BOOTTIME)
+STARTED_AT = time.clock_gettime(getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC))
