--- a/bench/leased_speed.py
+++ b/bench/leased_speed.py
@@ -10,7 +10,6 @@
 import argparse
 import json
 from collections import deque
-from math import inf
 from random import Random
 from statistics import median
 from time import process_time
@@ -51,6 +50,7 @@
 # So patient that nothing is refused: what is timed is waiting and placing.
 QUEUE = QueueConfig("q", "h", "/q/", "s", 5000, 60, 0, 3, 1e5)
 JOBS = 60
+FAR_FUTURE = 1e9
 ROUNDS = 5
 
 
@@ -119,7 +119,7 @@
         self.entry = Entry(*args)  # type: ignore[arg-type]
         self.entry.locks.replica.vote_at_once()
         self.entry.views.announced.add("e0")
-        self.entry.views.on_store_read(inf)
+        self.entry.views.on_store_read(FAR_FUTURE)
         self.entry.views.apply_if_newer(EntryView(1, ("e0",), ("e0",)), "store")
         self.reports = dict.fromkeys(names, 0)
         self.ends = self.jobs = 0
